--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,109 @@
+#ifndef GERANIUM_BASE_CLOCK_H_
+#define GERANIUM_BASE_CLOCK_H_
+
+#include <chrono>
+#include <compare>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+
+namespace geranium {
+
+/// A span of time, in milliseconds.
+class Duration {
+ public:
+  constexpr Duration() = default;
+  constexpr explicit Duration(std::int64_t ms) : ms_(ms) {}
+
+  constexpr std::int64_t ms() const { return ms_; }
+  constexpr auto operator<=>(const Duration&) const = default;
+
+  constexpr Duration operator+(Duration other) const {
+    return Duration(ms_ + other.ms_);
+  }
+  constexpr Duration operator-(Duration other) const {
+    return Duration(ms_ - other.ms_);
+  }
+  constexpr Duration operator*(std::int64_t factor) const {
+    return Duration(ms_ * factor);
+  }
+  constexpr Duration operator/(std::int64_t divisor) const {
+    return Duration(ms_ / divisor);
+  }
+
+ private:
+  std::int64_t ms_ = 0;
+};
+
+/// A reading of one process's monotonic clock, in milliseconds. Readings of
+/// two processes are never compared.
+class TimePoint {
+ public:
+  constexpr TimePoint() = default;
+  constexpr explicit TimePoint(std::int64_t ms) : ms_(ms) {}
+
+  constexpr std::int64_t ms() const { return ms_; }
+  constexpr auto operator<=>(const TimePoint&) const = default;
+
+  constexpr TimePoint operator+(Duration span) const {
+    return TimePoint(ms_ + span.ms());
+  }
+  constexpr TimePoint operator-(Duration span) const {
+    return TimePoint(ms_ - span.ms());
+  }
+  constexpr Duration operator-(TimePoint earlier) const {
+    return Duration(ms_ - earlier.ms_);
+  }
+
+  /// Earlier than every reading, and safe to subtract from one.
+  static constexpr TimePoint Never() {
+    return TimePoint(std::numeric_limits<std::int64_t>::min() / 4);
+  }
+
+ private:
+  std::int64_t ms_ = 0;
+};
+
+/// Anything that tells the time.
+template <class T>
+concept Clock = requires(const T& clock) {
+  { clock.Now() } -> std::same_as<TimePoint>;
+};
+
+/// The process's monotonic clock.
+class SystemClock {
+ public:
+  TimePoint Now() const {
+    return TimePoint(Count<std::chrono::milliseconds>());
+  }
+
+  /// The same clock in fractions of a millisecond, for measurements.
+  static double PreciseMs() {
+    return static_cast<double>(Count<std::chrono::microseconds>()) / 1000.0;
+  }
+
+ private:
+  template <class Unit>
+  static std::int64_t Count() {
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Unit>(since).count();
+  }
+};
+
+/// A clock that moves only when told to, for tests.
+class ManualClock {
+ public:
+  TimePoint Now() const { return now_; }
+  void Advance(Duration span) { now_ = now_ + span; }
+  void Set(TimePoint now) { now_ = now; }
+
+ private:
+  TimePoint now_;
+};
+
+static_assert(Clock<SystemClock>);
+static_assert(Clock<ManualClock>);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_BASE_CLOCK_H_
--- /dev/null
+++ b/src/base/quantile_window.cc
@@ -0,0 +1,32 @@
+#include "base/quantile_window.h"
+
+#include <algorithm>
+
+namespace geranium {
+
+void QuantileWindow::Add(Duration sample) {
+  if (samples_.size() < kWindow) {
+    samples_.push_back(sample);
+  } else {
+    samples_[next_] = sample;
+    next_ = (next_ + 1) % kWindow;
+  }
+  ++since_refresh_;
+  const bool just_enough = samples_.size() == kLeastSamples;
+  if (just_enough || since_refresh_ >= kRefreshEvery) Refresh();
+}
+
+Duration QuantileWindow::P99(Duration fallback) const {
+  return samples_.size() < kLeastSamples ? fallback : p99_;
+}
+
+void QuantileWindow::Refresh() {
+  since_refresh_ = 0;
+  std::vector<Duration> sorted = samples_;
+  const auto rank =
+      static_cast<std::ptrdiff_t>((sorted.size() * 99 + 99) / 100 - 1);
+  std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+  p99_ = sorted[static_cast<std::size_t>(rank)];
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/contract/service_text.cc
@@ -0,0 +1,140 @@
+#include "contract/service_text.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "settings/ini.h"
+
+namespace geranium {
+namespace {
+
+constexpr std::int64_t kMostTimeoutMs = 600'000;
+constexpr std::int64_t kMostWeight = 1000;
+constexpr std::int64_t kMostQuota = 10'000'000;
+constexpr std::size_t kLongestName = 64;
+
+Error TextError(const std::string& message) {
+  return Error{ErrorCode::kInvalidText, "check text", "", message,
+               Execution::kNotRun};
+}
+
+bool IsName(const std::string& name) {
+  const auto allowed = [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_';
+  };
+  return !name.empty() && name.size() <= kLongestName &&
+         std::all_of(name.begin(), name.end(), allowed);
+}
+
+ServiceSpec ReadService(const std::string& name, IniSection& section) {
+  ServiceSpec spec;
+  spec.name = ServiceName(name);
+  const std::string task_class = section.Text("class", "normal");
+  const auto parsed = ParseTaskClass(task_class);
+  if (!parsed) {
+    section.Refuse(
+        "class", "is '" + task_class + "'; allowed is urgent, normal or bulk");
+  }
+  spec.task_class = parsed.value_or(TaskClass::kNormal);
+  spec.idempotent = section.Flag("idempotent", false);
+  spec.timeout =
+      Duration(section.Integer("timeout_ms", 5000, 1, kMostTimeoutMs));
+  for (const std::string& other : section.List("depends")) {
+    spec.depends.emplace_back(other);
+  }
+  spec.path = section.Text("path", "/" + name);
+  if (!spec.path.starts_with('/')) {
+    section.Refuse("path", "is '" + spec.path + "'; it has to begin with /");
+  }
+  return spec;
+}
+
+TeamSpec ReadTeam(const std::string& name, IniSection& section) {
+  TeamSpec spec;
+  spec.name = TeamName(name);
+  spec.weight = static_cast<int>(section.Integer("weight", 1, 1, kMostWeight));
+  spec.quota = static_cast<int>(section.Integer("quota", 10000, 1, kMostQuota));
+  return spec;
+}
+
+Result<void> CheckDependencies(const ServiceText& text) {
+  for (const auto& [name, spec] : text.services) {
+    for (const ServiceName& other : spec.depends) {
+      if (text.services.contains(other)) continue;
+      return TextError("service '" + name.value() + "' depends on '" +
+                       other.value() + "', which the text does not have");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+enum class Visit { kOpen, kDone };
+
+// Depth-first search; a service met again while still open closes a cycle.
+Result<void> CheckAcyclicFrom(const ServiceText& text, const ServiceName& name,
+                              std::map<ServiceName, Visit>& visits) {
+  const auto [position, is_new] = visits.try_emplace(name, Visit::kOpen);
+  if (!is_new) {
+    if (position->second == Visit::kDone) return boost::outcome_v2::success();
+    return TextError("service '" + name.value() +
+                     "' depends on itself through a cycle");
+  }
+  for (const ServiceName& other : text.services.at(name).depends) {
+    BOOST_OUTCOME_TRYV(CheckAcyclicFrom(text, other, visits));
+  }
+  visits[name] = Visit::kDone;
+  return boost::outcome_v2::success();
+}
+
+Result<void> CheckAcyclic(const ServiceText& text) {
+  std::map<ServiceName, Visit> visits;
+  for (const auto& [name, spec] : text.services) {
+    BOOST_OUTCOME_TRYV(CheckAcyclicFrom(text, name, visits));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> ReadSection(IniSection& section, ServiceText& text) {
+  const std::string& title = section.name();
+  const auto space = title.find(' ');
+  const std::string kind = title.substr(0, space);
+  const std::string name =
+      space == std::string::npos ? "" : title.substr(space + 1);
+  if (!IsName(name)) {
+    return TextError("section [" + title +
+                     "]: allowed is [service NAME], [team NAME] or "
+                     "[data_centre NAME] with letters, digits, - and _");
+  }
+  if (kind == "service") {
+    text.services[ServiceName(name)] = ReadService(name, section);
+  } else if (kind == "team") {
+    text.teams[TeamName(name)] = ReadTeam(name, section);
+  } else if (kind == "data_centre") {
+    text.data_centres[DataCentreName(name)] =
+        DataCentreSpec{DataCentreName(name), section.Required("region")};
+  } else {
+    return TextError("section [" + title + "]: '" + kind +
+                     "' is unknown; allowed is service, team or data_centre");
+  }
+  return section.Finish();
+}
+
+}  // namespace
+
+Result<ServiceText> ParseServiceText(const std::string& source) {
+  BOOST_OUTCOME_TRY(file, IniFile::Parse("text", source));
+  ServiceText text;
+  for (IniSection& section : file.sections()) {
+    BOOST_OUTCOME_TRYV(ReadSection(section, text));
+  }
+  if (text.services.empty()) return TextError("the text has no service");
+  if (text.data_centres.empty()) {
+    return TextError("the text has no data_centre");
+  }
+  BOOST_OUTCOME_TRYV(CheckDependencies(text));
+  BOOST_OUTCOME_TRYV(CheckAcyclic(text));
+  return text;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/contract/task.h
@@ -0,0 +1,96 @@
+#ifndef GERANIUM_CONTRACT_TASK_H_
+#define GERANIUM_CONTRACT_TASK_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/ids.h"
+
+namespace geranium {
+
+/// Classes of work, the most urgent first.
+enum class TaskClass { kUrgent, kNormal, kBulk };
+inline constexpr std::size_t kTaskClasses = 3;
+
+std::string_view Name(TaskClass task_class);
+std::optional<TaskClass> ParseTaskClass(std::string_view name);
+
+/// What a task takes of a worker, or what a worker has.
+struct Resources {
+  double cpu = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  /// True if `size` fits into this.
+  bool Holds(const Resources& size) const {
+    return size.cpu <= cpu && size.memory_mb <= memory_mb &&
+           size.accelerators <= accelerators;
+  }
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+
+  template <class A>
+  void Fields(A& a) {
+    a(cpu)(memory_mb)(accelerators);
+  }
+};
+
+/// A single request is passed through; a job is a set of tasks with one answer.
+enum class SubmissionKind { kRequest, kJob };
+
+struct TaskSpec {
+  std::string payload;
+  Resources size;
+};
+
+/// What a caller asks for, checked for form but not yet admitted.
+struct Submission {
+  SubmissionKind kind = SubmissionKind::kJob;
+  ServiceName service;
+  TeamName team;
+  std::optional<TaskClass> task_class;  ///< The service's own if absent.
+  std::optional<Duration> deadline;  ///< From arrival; the default if absent.
+  std::optional<IdempotencyKey> key;
+  std::uint64_t fingerprint = 0;  ///< Hash of the content, to compare by key.
+  std::vector<TaskSpec> tasks;
+};
+
+enum class TaskStatus { kSucceeded, kFailed };
+
+/// How one task ended.
+struct TaskOutcome {
+  TaskStatus status = TaskStatus::kFailed;
+  int http_status = 0;         ///< The backend server's, 0 if it gave none.
+  std::string body;            ///< The backend server's answer, whole.
+  std::optional<Error> error;  ///< Set unless the task succeeded.
+
+  static TaskOutcome Failure(Error error);
+
+  template <class A>
+  void Fields(A& a) {
+    a(status)(http_status)(body)(error);
+  }
+};
+
+/// The answer to a submission: every task's outcome, and whether all succeeded.
+struct JobAnswer {
+  JobId job;
+  std::uint64_t fingerprint = 0;
+  bool complete = false;
+  std::vector<TaskOutcome> outcomes;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(fingerprint)(complete)(outcomes);
+  }
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_CONTRACT_TASK_H_
--- /dev/null
+++ b/src/data_centre/configuration.cc
@@ -0,0 +1,176 @@
+#include "data_centre/configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace geranium {
+namespace {
+
+constexpr std::string_view kVerdictNames[] = {"accepted", "conflict", "invalid",
+                                              "snapshot"};
+
+Version At(LogOffset offset) { return Version(offset.value()); }
+
+void FollowText(const ServiceText& text, Version version,
+                ConfigurationState& state) {
+  std::erase_if(state.data_centres, [&](const DataCentreState& data_centre) {
+    return !text.data_centres.contains(data_centre.name);
+  });
+  for (const auto& [name, spec] : text.data_centres) {
+    if (FindDataCentre(state, name) != nullptr) continue;
+    state.data_centres.push_back({name, true, version});
+  }
+}
+
+Verdict Decide(LogOffset offset, const TextRecord& record,
+               ConfigurationState& state) {
+  const auto text = ParseServiceText(record.text);
+  if (!text) return Verdict::kInvalid;
+  if (record.edited_from != state.text_version) return Verdict::kConflict;
+  state.text = record.text;
+  state.text_version = At(offset);
+  state.version = At(offset);
+  FollowText(text.value(), At(offset), state);
+  return Verdict::kAccepted;
+}
+
+Verdict Decide(LogOffset offset, const DataCentreRecord& record,
+               ConfigurationState& state) {
+  for (DataCentreState& data_centre : state.data_centres) {
+    if (data_centre.name != record.name) continue;
+    if (data_centre.changed != record.last_change) return Verdict::kConflict;
+    data_centre.in = record.in;
+    data_centre.changed = At(offset);
+    state.version = At(offset);
+    return Verdict::kAccepted;
+  }
+  return Verdict::kInvalid;
+}
+
+Verdict Decide(LogOffset /*offset*/, const SnapshotRecord& /*record*/,
+               ConfigurationState& /*state*/) {
+  return Verdict::kSnapshot;
+}
+
+}  // namespace
+
+std::string_view Name(Verdict verdict) {
+  return kVerdictNames[static_cast<std::size_t>(verdict)];
+}
+
+Verdict ApplyRecord(LogOffset offset, const ConfigurationRecord& record,
+                    ConfigurationState& state) {
+  return std::visit(
+      [&](const auto& typed) { return Decide(offset, typed, state); }, record);
+}
+
+const DataCentreState* FindDataCentre(const ConfigurationState& state,
+                                      const DataCentreName& name) {
+  for (const DataCentreState& data_centre : state.data_centres) {
+    if (data_centre.name == name) return &data_centre;
+  }
+  return nullptr;
+}
+
+std::vector<ConfigurationReader::Decision> ConfigurationReader::Read(
+    const LogBatch& batch, TimePoint now) {
+  if (position_ < batch.first) StartAt(batch.first);
+  for (const LogRecord& record : batch.records) {
+    if (record.offset != position_) continue;
+    pending_.push_back({record, now - record.age});
+    position_ = LogOffset(position_.value() + 1);
+  }
+  tail_ = batch.next;
+  std::vector<Decision> decisions;
+  if (!has_base_ && !FindBase()) return decisions;
+  for (const Pending& pending : pending_) decisions.push_back(Fold(pending));
+  pending_.clear();
+  return decisions;
+}
+
+void ConfigurationReader::StartAt(LogOffset first) {
+  position_ = first;
+  has_base_ = first == LogOffset(1);
+  pending_.clear();
+}
+
+bool ConfigurationReader::FindBase() {
+  if (pending_.empty()) return false;
+  const LogOffset oldest = pending_.front().record.offset;
+  for (const Pending& pending : pending_) {
+    const auto record = DecodeRecord(pending.record.body);
+    if (!record) continue;
+    const auto* snapshot = std::get_if<SnapshotRecord>(&record.value());
+    if (snapshot == nullptr || snapshot->as_of < oldest) continue;
+    const LogOffset as_of = snapshot->as_of;
+    state_ = snapshot->state;
+    base_appended_ = pending.appended;
+    has_base_ = true;
+    std::erase_if(pending_, [&](const Pending& other) {
+      return other.record.offset < as_of;
+    });
+    return true;
+  }
+  return false;
+}
+
+ConfigurationReader::Decision ConfigurationReader::Fold(
+    const Pending& pending) {
+  Decision decision;
+  decision.offset = pending.record.offset;
+  decision.id = pending.record.id;
+  auto record = DecodeRecord(pending.record.body);
+  if (!record) return decision;
+  decision.record = std::move(record.value());
+  decision.verdict = ApplyRecord(decision.offset, decision.record, state_);
+  Rest(decision.verdict, pending, decision.record);
+  return decision;
+}
+
+// A state rests on the snapshot that it began from, or else on the first
+// record that it accepted. A later snapshot takes over only if no record came
+// between its state and itself: such a record would pass its retention first.
+void ConfigurationReader::Rest(Verdict verdict, const Pending& pending,
+                               const ConfigurationRecord& record) {
+  if (verdict == Verdict::kAccepted && !base_appended_) {
+    base_appended_ = pending.appended;
+  }
+  const auto* snapshot = std::get_if<SnapshotRecord>(&record);
+  if (snapshot == nullptr) return;
+  if (snapshot->as_of != pending.record.offset) return;
+  base_appended_ = pending.appended;
+}
+
+bool Configuration::Adopt(const ConfigurationState& state) {
+  if (state.version <= state_.version) return false;
+  auto text = ParseServiceText(state.text);
+  if (!text) return false;
+  const Version before = state_.version;
+  state_ = state;
+  text_ = std::move(text.value());
+  CheckInvariant(Invariant::kConfigurationNeverReverts, state_.version > before,
+                 "version in force went back");
+  return true;
+}
+
+const ServiceSpec* Configuration::FindService(const ServiceName& name) const {
+  const auto found = text_.services.find(name);
+  return found == text_.services.end() ? nullptr : &found->second;
+}
+
+TeamSpec Configuration::Team(const TeamName& name) const {
+  const auto found = text_.teams.find(name);
+  if (found != text_.teams.end()) return found->second;
+  TeamSpec spec;
+  spec.name = name;
+  return spec;
+}
+
+bool Configuration::IsIn(const DataCentreName& name) const {
+  const DataCentreState* found = FindDataCentre(state_, name);
+  return found != nullptr && found->in;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/entry/dispatcher.h
@@ -0,0 +1,221 @@
+#ifndef GERANIUM_ENTRY_DISPATCHER_H_
+#define GERANIUM_ENTRY_DISPATCHER_H_
+
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/events.h"
+#include "base/ids.h"
+#include "base/quantile_window.h"
+#include "base/random.h"
+#include "contract/class_picker.h"
+#include "data_centre/configuration.h"
+#include "entry/actions.h"
+#include "entry/fair_queue.h"
+#include "entry/job.h"
+#include "entry/policy.h"
+#include "entry/retry_budget.h"
+#include "entry/worker_table.h"
+
+namespace geranium {
+
+struct DispatcherOptions {
+  Incarnation incarnation;
+  std::string name;
+  PolicyChoice policy;
+  std::size_t queue_limit = 20'000;  ///< Tasks that may wait at the entry.
+  Duration default_deadline{30'000};
+  Duration worker_lost{3000};  ///< Silence after which grants are in doubt.
+  bool hedge = true;
+};
+
+/// Counts for metrics and for the proofs.
+struct DispatcherCounters {
+  std::uint64_t submissions = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t answers_complete = 0;
+  std::uint64_t answers_failed = 0;
+  std::uint64_t offers = 0;
+  std::uint64_t second_offers = 0;
+  std::uint64_t grants = 0;
+  std::uint64_t results = 0;
+  std::uint64_t late_results = 0;
+  std::uint64_t not_started = 0;
+  std::uint64_t withdrawn = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t in_doubt = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t wasted_messages = 0;
+};
+
+/// The only arbiter of the jobs that its entry accepted: decides, once for each
+/// task, which worker may start it, and gives each job one answer. Holds no
+/// socket, thread or clock.
+class Dispatcher {
+ public:
+  Dispatcher(DispatcherOptions options, const Configuration& configuration,
+             Random& random, EventRing& events);
+
+  // Submissions.
+
+  /// Admits a submission. A refusal means that nothing has run. Unless
+  /// `claimed`, grants wait for `ClaimDecided`.
+  Result<JobId> Submit(Submission submission, bool claimed, TimePoint now);
+  /// The job's key is its own, or `refusal` says why it must not run.
+  void ClaimDecided(const JobId& job, const std::optional<Error>& refusal,
+                    TimePoint now);
+  /// Ends a job: tasks that were not granted are dropped, others asked to stop.
+  void CancelJob(const JobId& job, const Error& reason, TimePoint now);
+
+  // Workers.
+
+  void OnWorkerUp(LinkId link, const Hello& hello, TimePoint now);
+  void OnWorkerDown(LinkId link, TimePoint now);
+  void OnHeartbeat(LinkId link, const Heartbeat& heartbeat, TimePoint now);
+  void On(LinkId link, const OfferAck& ack, TimePoint now);
+  void On(LinkId link, const Ready& ready, TimePoint now);
+  void On(LinkId link, const NotStarted& not_started, TimePoint now);
+  void On(LinkId link, const TaskResult& result, TimePoint now);
+  void On(LinkId link, const Leaving& leaving, TimePoint now);
+
+  // The rest of the world.
+
+  /// Whether the configuration in force is confirmed freshly enough to grant.
+  void SetFresh(bool fresh) { fresh_ = fresh; }
+  /// The configuration in force has changed.
+  void OnConfiguration(TimePoint now);
+  /// The number of entries that share the teams' quotas.
+  void SetEntryCount(std::size_t entries) { entry_count_ = entries; }
+  void OnTick(TimePoint now);
+
+  std::vector<DispatchAction> TakeActions();
+
+  const WorkerTable& workers() const { return workers_; }
+  const DispatcherCounters& counters() const { return counters_; }
+  const Job* FindJob(const JobId& id) const;
+  std::size_t open_jobs() const { return jobs_.size(); }
+  std::size_t waiting_tasks() const { return waiting_tasks_; }
+
+ private:
+  using QueueKey = std::pair<TaskClass, ServiceName>;
+
+  enum class TimerKind {
+    kDeadline,
+    kUnacknowledged,
+    kRequeue,
+    kHedge,
+    kOverdue
+  };
+  struct Timer {
+    TimerKind kind = TimerKind::kDeadline;
+    TaskRef task;
+    AttemptId attempt;
+  };
+
+  // Admission (dispatcher_admission.cc).
+  std::optional<Error> RefuseSubmission(const Submission& submission,
+                                        const ServiceSpec& service,
+                                        TaskClass task_class, Duration deadline,
+                                        TimePoint now) const;
+  std::optional<Error> RefuseByQuota(const Submission& submission) const;
+  std::optional<Error> RefuseByQueue(const Submission& submission,
+                                     TaskClass task_class, Duration deadline,
+                                     TimePoint now) const;
+  Duration ExpectedWait(const ServiceName& service, TaskClass task_class,
+                        TimePoint now) const;
+  Error Refusal(ErrorCode code, std::string step, std::string message) const;
+  Job MakeJob(Submission submission, const ServiceSpec& service, bool claimed,
+              TimePoint now);
+
+  // Queues and offers (dispatcher_offers.cc).
+  void Enqueue(const Job& job, std::uint32_t task, bool at_front);
+  void Pump(TimePoint now);
+  void PumpWorker(WorkerView& worker, TimePoint now);
+  std::optional<QueueKey> NextQueue(const std::set<QueueKey>& blocked);
+  bool OfferHead(const QueueKey& key, TimePoint now);
+  bool OfferHeadTo(const QueueKey& key, WorkerView& worker, TimePoint now);
+  std::optional<TaskRef> PopWaiting(const QueueKey& key);
+  void PutBack(const TaskRef& ref);
+  void OfferWaitingTo(WorkerView& worker, TimePoint now);
+  bool OfferSecond(const TaskRef& ref, WorkerView& worker, TimePoint now);
+  WorkerQuery QueryFor(const Job& job, const Task& task) const;
+  WorkerView* ChooseFor(const Job& job, const Task& task, TimePoint now);
+  int WaitingLimit(TaskClass task_class, bool repeatable, int slots) const;
+  void SendOffer(Job& job, std::uint32_t index, WorkerView& worker,
+                 TimePoint now);
+  void SendOfferMessage(const AttemptId& id, const Attempt& attempt,
+                        WorkerView& worker, TimePoint now);
+
+  // Attempts and answers (dispatcher_attempts.cc).
+  bool MayGrant(const Job& job, const Attempt& attempt) const;
+  void GrantReady(const AttemptId& id, TimePoint now);
+  void SendGrant(const AttemptId& id, TimePoint now);
+  void MarkGranted(Job& job, Task& task, const AttemptId& id, TimePoint now);
+  void WithdrawOthers(Task& task, const AttemptId& kept);
+  void TakeBack(const AttemptId& id);
+  std::optional<Attempt> Close(const AttemptId& id);
+  void ReturnTask(const TaskRef& ref, TimePoint now);
+  void RequeueLater(const TaskRef& ref, TimePoint now);
+  void TakeResult(const Attempt& attempt, const TaskResult& result,
+                  TimePoint now);
+  void MarkInDoubt(const AttemptId& id, const std::string& why, TimePoint now);
+  bool Repeat(Job& job, std::uint32_t index, TimePoint now);
+  void FinishTask(Job& job, Task& task, TaskOutcome outcome);
+  void DropUnstarted(Job& job, const Error& reason);
+  void DropTask(Job& job, Task& task, Error reason);
+  void AnswerIfDone(Job& job, TimePoint now);
+  void CheckAnswer(const Job& job, const JobAnswer& answer) const;
+  void MoveFromWorker(WorkerView& worker, bool granted_too,
+                      const std::string& why, TimePoint now);
+  void ResendGrants(WorkerView& worker, TimePoint now);
+  void WatchWorkers(TimePoint now);
+  void Fire(const Timer& timer, TimePoint now);
+  void FireHedge(const Timer& timer, TimePoint now);
+  void AddTimer(TimePoint at, TimerKind kind, TaskRef task,
+                AttemptId attempt = {});
+  WorkerView* Heard(LinkId link, const WorkerLoad& load, TimePoint now);
+  Job* FindMutableJob(const JobId& id);
+  void Send(const WorkerView& worker, Message message);
+  void Note(EventKind kind, TimePoint now, const TaskRef& task,
+            const AttemptId* attempt, const std::string& peer,
+            std::string detail);
+
+  DispatcherOptions options_;
+  const Configuration& configuration_;
+  Random& random_;
+  EventRing& events_;
+  WorkerTable workers_;
+  bool fresh_ = false;
+  std::size_t entry_count_ = 1;
+  std::uint64_t next_job_ = 1;
+  std::uint64_t next_attempt_ = 1;
+  std::unordered_map<JobId, Job> jobs_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::map<QueueKey, FairQueue> queues_;
+  std::array<ServiceName, kTaskClasses> last_service_;
+  ClassPicker picker_;
+  std::array<std::size_t, kTaskClasses> waiting_by_class_{};
+  std::size_t waiting_tasks_ = 0;
+  std::map<TeamName, std::size_t> tasks_by_team_;
+  std::deque<std::pair<TimePoint, TaskRef>> offered_;
+  std::multimap<TimePoint, Timer> timers_;
+  std::map<ServiceName, QuantileWindow> run_times_;
+  std::map<ServiceName, double> mean_run_ms_;
+  RetryBudget budget_;
+  TimePoint next_watch_;
+  DispatcherCounters counters_;
+  std::vector<DispatchAction> actions_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_ENTRY_DISPATCHER_H_
--- /dev/null
+++ b/src/entry/dispatcher_attempts.cc
@@ -0,0 +1,527 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "entry/dispatcher.h"
+
+namespace geranium {
+namespace {
+
+constexpr Duration kFirstRequeueWait{5};
+constexpr Duration kLongestRequeueWait{200};
+constexpr int kFreeBounces = 2;
+constexpr Duration kOverdueSlack{2000};
+constexpr Duration kHedgeSlack{20};
+constexpr Duration kHedgeFloor{30};
+constexpr Duration kHedgeUnknown{500};
+constexpr Duration kHedgeRetry{20};
+constexpr std::int64_t kQuantileTrustDivisor = 2;
+constexpr double kMeanWeight = 0.05;
+constexpr std::size_t kMostAttempts = 2;
+
+}  // namespace
+
+// ---- workers' messages
+
+WorkerView* Dispatcher::Heard(LinkId link, const WorkerLoad& load,
+                              TimePoint now) {
+  ++counters_.messages_received;
+  WorkerView* worker = workers_.FindByLink(link);
+  if (worker != nullptr) workers_.Report(*worker, load, now);
+  return worker;
+}
+
+void Dispatcher::On(LinkId link, const OfferAck& ack, TimePoint now) {
+  WorkerView* worker = Heard(link, ack.load, now);
+  const auto found = attempts_.find(ack.attempt);
+  if (found != attempts_.end()) found->second.acknowledged = true;
+  if (worker != nullptr) PumpWorker(*worker, now);
+}
+
+void Dispatcher::On(LinkId link, const Ready& ready, TimePoint now) {
+  WorkerView* worker = Heard(link, ready.load, now);
+  const auto found = attempts_.find(ready.attempt);
+  if (found == attempts_.end() || found->second.granted) {
+    if (found == attempts_.end() && worker != nullptr) {
+      ++counters_.wasted_messages;
+      Send(*worker, Withdraw{ready.attempt});
+    }
+    return;
+  }
+  found->second.acknowledged = true;
+  Note(EventKind::kReadyReceived, now, found->second.task, &ready.attempt,
+       found->second.worker.value(), "");
+  GrantReady(ready.attempt, now);
+  if (worker != nullptr) PumpWorker(*worker, now);
+}
+
+void Dispatcher::On(LinkId link, const NotStarted& not_started, TimePoint now) {
+  WorkerView* worker = Heard(link, not_started.load, now);
+  ++counters_.not_started;
+  const auto attempt = Close(not_started.attempt);
+  if (!attempt) return;
+  counters_.wasted_messages += 2;
+  Note(EventKind::kNotStarted, now, attempt->task, &not_started.attempt,
+       attempt->worker.value(), not_started.reason.message);
+  ReturnTask(attempt->task, now);
+  if (worker != nullptr) PumpWorker(*worker, now);
+}
+
+void Dispatcher::On(LinkId link, const TaskResult& result, TimePoint now) {
+  WorkerView* worker = Heard(link, result.load, now);
+  ++counters_.results;
+  if (worker != nullptr) {
+    Send(*worker, ResultAck{result.attempt});
+  }
+  const auto found = attempts_.find(result.attempt);
+  if (found == attempts_.end()) {
+    ++counters_.late_results;
+    ++counters_.wasted_messages;
+  } else {
+    const TaskRef& task = found->second.task;
+    const bool belongs = task.job == result.job && task.task == result.task;
+    CheckInvariant(Invariant::kAnswerBelongsToRequest, belongs,
+                   "result of " + ToString(result.attempt));
+    Note(EventKind::kResultReceived, now, task, &result.attempt,
+         found->second.worker.value(), "");
+    const auto attempt = Close(result.attempt);
+    if (belongs) TakeResult(*attempt, result, now);
+  }
+  if (worker != nullptr) PumpWorker(*worker, now);
+}
+
+void Dispatcher::On(LinkId link, const Leaving& leaving, TimePoint now) {
+  Heard(link, leaving.load, now);
+}
+
+void Dispatcher::OnHeartbeat(LinkId link, const Heartbeat& heartbeat,
+                             TimePoint now) {
+  WorkerView* worker = workers_.FindByLink(link);
+  if (worker == nullptr || !heartbeat.load) return;
+  worker->version = heartbeat.version;
+  workers_.Report(*worker, *heartbeat.load, now);
+  PumpWorker(*worker, now);
+}
+
+void Dispatcher::OnWorkerUp(LinkId link, const Hello& hello, TimePoint now) {
+  WorkerView* known = workers_.Find(hello.worker->id);
+  const bool replaced =
+      known != nullptr && known->incarnation != hello.incarnation;
+  if (known != nullptr && known->link) workers_.Disconnect(*known->link, now);
+  if (replaced) MoveFromWorker(*known, true, "the agent was replaced", now);
+  if (known != nullptr) MoveFromWorker(*known, false, "new link", now);
+  if (replaced) known->outcomes = OutcomeRecord();
+  WorkerView& worker = workers_.Connect(link, hello, now);
+  ResendGrants(worker, now);
+  PumpWorker(worker, now);
+}
+
+// The agent ignores a grant that it has seen, and reports one that it can no
+// longer use; either way the doubt about a lost message ends.
+void Dispatcher::ResendGrants(WorkerView& worker, TimePoint now) {
+  for (const AttemptId& id : worker.attempts) {
+    const Attempt& attempt = attempts_.at(id);
+    const Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
+    if (attempt.acknowledged) {
+      Send(worker, Grant{id, task.spec.payload});
+    } else {
+      SendOfferMessage(id, attempt, worker, now);
+    }
+  }
+}
+
+void Dispatcher::OnWorkerDown(LinkId link, TimePoint now) {
+  WorkerView* worker = workers_.Disconnect(link, now);
+  if (worker == nullptr) return;
+  MoveFromWorker(*worker, false, "the link was lost", now);
+  Pump(now);
+}
+
+void Dispatcher::MoveFromWorker(WorkerView& worker, bool granted_too,
+                                const std::string& why, TimePoint now) {
+  const std::set<AttemptId> attempts = worker.attempts;
+  for (const AttemptId& id : attempts) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    if (found->second.granted) {
+      if (granted_too) MarkInDoubt(id, why, now);
+      continue;
+    }
+    const TaskRef ref = found->second.task;
+    TakeBack(id);
+    ReturnTask(ref, now);
+  }
+}
+
+void Dispatcher::OnConfiguration(TimePoint now) {
+  workers_.ForgetAvailability();
+  std::vector<WorkerId> moved;
+  for (const auto& [id, worker] : workers_.workers()) {
+    const bool is_in = configuration_.IsIn(worker.profile.data_centre);
+    if (!is_in) moved.push_back(id);
+  }
+  for (const WorkerId& id : moved) {
+    MoveFromWorker(*workers_.Find(id), false, "the data centre is out", now);
+  }
+  Pump(now);
+}
+
+// ---- grants
+
+bool Dispatcher::MayGrant(const Job& job, const Attempt& attempt) const {
+  const WorkerView* worker = workers_.Find(attempt.worker);
+  return fresh_ && job.claimed && worker != nullptr &&
+         configuration_.IsIn(worker->profile.data_centre);
+}
+
+void Dispatcher::GrantReady(const AttemptId& id, TimePoint now) {
+  const TaskRef ref = attempts_.at(id).task;
+  Job& job = jobs_.at(ref.job);
+  Task& task = job.tasks[ref.task];
+  if (!job.claimed) {
+    if (!task.held) task.held = id;
+    return;
+  }
+  const bool is_free = task.state == TaskState::kOffered;
+  if (!is_free || !MayGrant(job, attempts_.at(id))) {
+    TakeBack(id);
+    ReturnTask(ref, now);
+    return;
+  }
+  MarkGranted(job, task, id, now);
+  SendGrant(id, now);
+  WithdrawOthers(task, id);
+}
+
+void Dispatcher::SendGrant(const AttemptId& id, TimePoint now) {
+  const Attempt& attempt = attempts_.at(id);
+  const Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
+  const WorkerView* worker = workers_.Find(attempt.worker);
+  Note(EventKind::kGrantSent, now, attempt.task, &id, attempt.worker.value(),
+       "");
+  Send(*worker, Grant{id, task.spec.payload});
+}
+
+void Dispatcher::MarkGranted(Job& job, Task& task, const AttemptId& id,
+                             TimePoint now) {
+  const bool may_start = job.IsRepeatable() || !task.MayHaveRun();
+  const Invariant invariant = job.kind == SubmissionKind::kJob
+                                  ? Invariant::kStartsAtMostOnce
+                                  : Invariant::kNonIdempotentOnce;
+  CheckInvariant(invariant, may_start, "second grant for " + ToString(job.id));
+  CheckInvariant(Invariant::kNoStartInDataCentreOut,
+                 MayGrant(job, attempts_.at(id)),
+                 "grant for " + ToString(job.id));
+  Attempt& attempt = attempts_.at(id);
+  attempt.granted = true;
+  attempt.granted_at = now;
+  --workers_.Find(attempt.worker)->waiting;
+  const bool is_first = task.grants_unanswered == 0 && !task.in_doubt;
+  ++task.grants_unanswered;
+  task.state = TaskState::kGranted;
+  ++counters_.grants;
+  AddTimer(now + job.service.timeout + kOverdueSlack, TimerKind::kOverdue,
+           attempt.task, id);
+  if (!is_first) return;
+  budget_.CountFirst();
+  if (!options_.hedge || !job.IsRepeatable()) return;
+  const Duration unknown =
+      std::min(kHedgeUnknown, job.service.timeout / kQuantileTrustDivisor);
+  const Duration usual = run_times_[job.service.name].P99(unknown);
+  AddTimer(now + std::max(kHedgeFloor, usual + kHedgeSlack), TimerKind::kHedge,
+           attempt.task, id);
+}
+
+void Dispatcher::WithdrawOthers(Task& task, const AttemptId& kept) {
+  const std::vector<AttemptId> open = task.attempts;
+  for (const AttemptId& id : open) {
+    if (id != kept) TakeBack(id);
+  }
+}
+
+// Closes an attempt from this side. The worker is told, so that it does not
+// hold a slot for it or goes on with it for nothing.
+void Dispatcher::TakeBack(const AttemptId& id) {
+  const auto attempt = Close(id);
+  if (!attempt) return;
+  counters_.wasted_messages += attempt->acknowledged ? 3 : 2;
+  ++counters_.withdrawn;
+  const WorkerView* worker = workers_.Find(attempt->worker);
+  if (worker == nullptr || !worker->link) return;
+  if (attempt->granted) {
+    Send(*worker, Cancel{id});
+  } else {
+    Send(*worker, Withdraw{id});
+  }
+}
+
+std::optional<Attempt> Dispatcher::Close(const AttemptId& id) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return std::nullopt;
+  const Attempt attempt = found->second;
+  attempts_.erase(found);
+  WorkerView* worker = workers_.Find(attempt.worker);
+  if (worker != nullptr) {
+    worker->attempts.erase(id);
+    if (!attempt.granted) --worker->waiting;
+  }
+  Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
+  std::erase(task.attempts, id);
+  if (task.held == id) task.held.reset();
+  if (attempt.granted) --task.grants_unanswered;
+  return attempt;
+}
+
+// ---- what comes back
+
+// The attempt is surely over without a start, so the task may go elsewhere.
+void Dispatcher::ReturnTask(const TaskRef& ref, TimePoint now) {
+  Job* job = FindMutableJob(ref.job);
+  if (job == nullptr) return;
+  Task& task = job->tasks[ref.task];
+  if (task.state == TaskState::kDone || !task.attempts.empty()) return;
+  if (task.in_doubt && !job->IsRepeatable()) return;
+  task.state = TaskState::kWaiting;
+  ++task.bounces;
+  if (task.bounces > kFreeBounces) {
+    RequeueLater(ref, now);
+    return;
+  }
+  Enqueue(*job, ref.task, true);
+  Pump(now);
+}
+
+void Dispatcher::RequeueLater(const TaskRef& ref, TimePoint now) {
+  const Task& task = jobs_.at(ref.job).tasks[ref.task];
+  const int doublings = std::min(task.bounces - kFreeBounces, 6);
+  const Duration wait =
+      std::min(kLongestRequeueWait, kFirstRequeueWait * (1 << doublings));
+  AddTimer(now + random_.Jitter(wait), TimerKind::kRequeue, ref);
+}
+
+void Dispatcher::TakeResult(const Attempt& attempt, const TaskResult& result,
+                            TimePoint now) {
+  Job& job = jobs_.at(attempt.task.job);
+  Task& task = job.tasks[attempt.task.task];
+  const TaskOutcome& outcome = result.outcome;
+  const bool succeeded = outcome.status == TaskStatus::kSucceeded;
+  const bool is_workers_fault =
+      !succeeded && (result.unreachable || outcome.http_status >= 500);
+  WorkerView* worker = workers_.Find(attempt.worker);
+  if (worker != nullptr) {
+    workers_.CountOutcome(*worker, !is_workers_fault, now);
+  }
+  if (succeeded) {
+    run_times_[job.service.name].Add(now - attempt.granted_at);
+    const auto run_ms = static_cast<double>(result.run_time.ms());
+    double& mean =
+        mean_run_ms_.try_emplace(job.service.name, run_ms).first->second;
+    mean += kMeanWeight * (run_ms - mean);
+  }
+  if (task.state == TaskState::kDone) return;
+  if (is_workers_fault && job.IsRepeatable()) {
+    if (!task.attempts.empty()) return;
+    if (Repeat(job, attempt.task.task, now)) return;
+  }
+  FinishTask(job, task, outcome);
+  AnswerIfDone(job, now);
+}
+
+// An idempotent request may be tried again, within its deadline and the budget.
+bool Dispatcher::Repeat(Job& job, std::uint32_t index, TimePoint now) {
+  if (now >= job.deadline || !budget_.Spend()) return false;
+  ++counters_.retries;
+  job.tasks[index].state = TaskState::kWaiting;
+  Enqueue(job, index, true);
+  Pump(now);
+  return true;
+}
+
+void Dispatcher::MarkInDoubt(const AttemptId& id, const std::string& why,
+                             TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const Attempt attempt = found->second;
+  Job& job = jobs_.at(attempt.task.job);
+  Task& task = job.tasks[attempt.task.task];
+  task.in_doubt = true;
+  ++counters_.in_doubt;
+  Note(EventKind::kInDoubt, now, attempt.task, &id, attempt.worker.value(),
+       why);
+  TakeBack(id);
+  if (job.IsRepeatable()) {
+    if (!task.attempts.empty()) return;
+    if (Repeat(job, attempt.task.task, now)) return;
+  }
+  Error error{ErrorCode::kInDoubt, "run", attempt.worker.value(), why,
+              Execution::kMayHaveRun};
+  FinishTask(job, task, TaskOutcome::Failure(std::move(error)));
+  AnswerIfDone(job, now);
+}
+
+void Dispatcher::FinishTask(Job& job, Task& task, TaskOutcome outcome) {
+  const bool not_run =
+      outcome.error && outcome.error->execution == Execution::kNotRun;
+  CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
+                 "task of " + ToString(job.id) + " reported as not run");
+  const bool failed = outcome.status == TaskStatus::kFailed;
+  task.outcome = std::move(outcome);
+  task.state = TaskState::kDone;
+  --job.open;
+  WithdrawOthers(task, AttemptId{});
+  if (!failed || job.kind != SubmissionKind::kJob || job.open == 0) return;
+  // A job with a failed task cannot become complete: what has not been granted
+  // is dropped, and what runs is waited for, so that its outcome is known.
+  Error reason{ErrorCode::kCancelled, "job", options_.name,
+               "another task of the job failed", Execution::kNotRun};
+  DropUnstarted(job, reason);
+}
+
+void Dispatcher::DropUnstarted(Job& job, const Error& reason) {
+  for (Task& task : job.tasks) {
+    const bool is_unstarted =
+        task.state == TaskState::kWaiting || task.state == TaskState::kOffered;
+    if (is_unstarted) DropTask(job, task, reason);
+  }
+}
+
+void Dispatcher::DropTask(Job& job, Task& task, Error reason) {
+  if (task.MayHaveRun()) reason.execution = Execution::kMayHaveRun;
+  const bool not_run = reason.execution == Execution::kNotRun;
+  CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
+                 "dropped task of " + ToString(job.id));
+  task.outcome = TaskOutcome::Failure(std::move(reason));
+  task.state = TaskState::kDone;
+  --job.open;
+  WithdrawOthers(task, AttemptId{});
+}
+
+void Dispatcher::AnswerIfDone(Job& job, TimePoint now) {
+  if (job.open > 0) return;
+  JobAnswer answer;
+  answer.job = job.id;
+  answer.fingerprint = job.fingerprint;
+  answer.complete = true;
+  for (Task& task : job.tasks) {
+    const bool succeeded = task.outcome.status == TaskStatus::kSucceeded;
+    answer.complete = answer.complete && succeeded;
+    answer.outcomes.push_back(std::move(task.outcome));
+  }
+  CheckAnswer(job, answer);
+  ++(answer.complete ? counters_.answers_complete : counters_.answers_failed);
+  Note(EventKind::kAnswered, now, TaskRef{job.id, 0}, nullptr, "",
+       answer.complete ? "complete" : "failed");
+  const auto team = tasks_by_team_.find(job.team);
+  team->second -= job.tasks.size();
+  if (team->second == 0) tasks_by_team_.erase(team);
+  actions_.push_back(AnswerJob{std::move(answer)});
+  const JobId id = job.id;
+  jobs_.erase(id);
+}
+
+void Dispatcher::CheckAnswer(const Job& job, const JobAnswer& answer) const {
+  const bool is_whole = answer.outcomes.size() == job.tasks.size();
+  const bool has_reasons =
+      std::ranges::all_of(answer.outcomes, [](const TaskOutcome& outcome) {
+        const bool succeeded = outcome.status == TaskStatus::kSucceeded;
+        return succeeded != outcome.error.has_value();
+      });
+  const bool none_open = std::ranges::all_of(job.tasks, [](const Task& task) {
+    return task.state == TaskState::kDone && task.attempts.empty();
+  });
+  CheckInvariant(Invariant::kAnswerCompleteOrFailed,
+                 is_whole && has_reasons && none_open,
+                 "answer of " + ToString(job.id));
+}
+
+// ---- time
+
+void Dispatcher::AddTimer(TimePoint at, TimerKind kind, TaskRef task,
+                          AttemptId attempt) {
+  timers_.emplace(at, Timer{kind, task, attempt});
+}
+
+void Dispatcher::OnTick(TimePoint now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const Timer timer = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    Fire(timer, now);
+  }
+  if (now >= next_watch_) {
+    next_watch_ = now + Duration(100);
+    WatchWorkers(now);
+  }
+  Pump(now);
+}
+
+void Dispatcher::Fire(const Timer& timer, TimePoint now) {
+  Job* job = FindMutableJob(timer.task.job);
+  if (job == nullptr) return;
+  if (timer.kind == TimerKind::kDeadline) {
+    CancelJob(job->id,
+              Refusal(ErrorCode::kDeadline, "run", "the deadline passed"), now);
+    return;
+  }
+  if (timer.kind == TimerKind::kRequeue) {
+    const Task& task = job->tasks[timer.task.task];
+    if (task.state == TaskState::kWaiting) {
+      Enqueue(*job, timer.task.task, true);
+    }
+    return;
+  }
+  if (timer.kind == TimerKind::kHedge) {
+    FireHedge(timer, now);
+    return;
+  }
+  const auto found = attempts_.find(timer.attempt);
+  if (found == attempts_.end()) return;
+  if (timer.kind == TimerKind::kOverdue) {
+    MarkInDoubt(timer.attempt, "no answer in time", now);
+    return;
+  }
+  if (found->second.acknowledged || found->second.granted) return;
+  const TaskRef ref = found->second.task;
+  TakeBack(timer.attempt);
+  ReturnTask(ref, now);
+}
+
+void Dispatcher::FireHedge(const Timer& timer, TimePoint now) {
+  const auto found = attempts_.find(timer.attempt);
+  if (found == attempts_.end() || !fresh_) return;
+  Job& job = jobs_.at(timer.task.job);
+  Task& task = job.tasks[timer.task.task];
+  if (task.attempts.size() >= kMostAttempts) return;
+  WorkerQuery query = QueryFor(job, task);
+  query.other_than = found->second.worker;
+  query.needs_free_slot = true;
+  WorkerView* worker = workers_.Choose(
+      query, [](int slots) { return slots; }, now);
+  if (worker == nullptr) {
+    AddTimer(now + kHedgeRetry, TimerKind::kHedge, timer.task, timer.attempt);
+    return;
+  }
+  if (!budget_.Spend()) return;
+  ++counters_.hedges;
+  SendOffer(job, timer.task.task, *worker, now);
+}
+
+// A silent worker keeps what it may have started; what it surely has not is
+// moved early.
+void Dispatcher::WatchWorkers(TimePoint now) {
+  std::vector<WorkerId> ids;
+  for (const auto& [id, worker] : workers_.workers()) ids.push_back(id);
+  for (const WorkerId& id : ids) {
+    WorkerView& worker = *workers_.Find(id);
+    const TimePoint silent_since =
+        worker.link ? worker.heard : worker.lost_since;
+    const Duration silence = now - silent_since;
+    if (silence > options_.worker_lost) {
+      MoveFromWorker(worker, true, "the worker is silent", now);
+      if (!worker.link && worker.attempts.empty()) workers_.Remove(id);
+    } else if (silence > WorkerTable::kSilentLimit) {
+      MoveFromWorker(worker, false, "the worker is silent", now);
+    }
+  }
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/entry/entry_node.h
@@ -0,0 +1,227 @@
+#ifndef GERANIUM_ENTRY_ENTRY_NODE_H_
+#define GERANIUM_ENTRY_ENTRY_NODE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/events.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "contract/log.h"
+#include "contract/task.h"
+#include "data_centre/configuration.h"
+#include "data_centre/freshness.h"
+#include "entry/actions.h"
+#include "entry/answer_store.h"
+#include "entry/dispatcher.h"
+#include "entry/key_table.h"
+#include "link/messages.h"
+
+namespace geranium {
+
+/// What an entry is told by its settings.
+struct EntryOptions {
+  EntryId id;
+  Incarnation incarnation;
+  std::string link_address;
+  std::string http_address;
+  std::uint64_t seed = 1;
+  Duration heartbeat{250};
+  Duration freshness_limit = Freshness::kDefaultLimit;
+  LogOutageRule log_outage = LogOutageRule::kMajority;
+  Duration key_window{600'000};
+  Duration log_retention{3'600'000};
+  DispatcherOptions dispatcher;
+};
+
+/// What is known of a job by its id.
+struct JobReport {
+  enum class State { kUnknown, kRunning, kAnswered };
+  State state = State::kUnknown;
+  std::optional<JobAnswer> answer;
+};
+
+/// The decisions of an entry: admits submissions, settles idempotency keys,
+/// dispatches, and keeps the configuration in force. Holds no socket, thread
+/// or clock.
+class EntryNode {
+ public:
+  /// A process on a link.
+  struct Peer {
+    std::optional<Hello> hello;
+    std::optional<TimePoint> newest_sent_at;
+    Version version;
+    /// The peer's clock less ours. Too small by the shortest way of a message
+    /// here, which is what made it largest.
+    std::optional<Duration> clock_offset;
+  };
+
+  /// A decided record of the configuration stream.
+  using Decision = ConfigurationReader::Decision;
+
+  explicit EntryNode(EntryOptions options);
+
+  // Callers.
+
+  void OnSubmission(CallerHandle caller, Submission submission, TimePoint now);
+  /// The caller has hung up: a job without a key is cancelled.
+  void OnCallerGone(CallerHandle caller, TimePoint now);
+  void CancelJob(const JobId& job, TimePoint now);
+  JobReport Report(const JobId& job) const;
+  /// A key that this entry settles without the log.
+  IdempotencyKey MintKey();
+
+  // Links.
+
+  void OnLinkUp(LinkId link, TimePoint now);
+  void OnLinkDown(LinkId link, TimePoint now);
+  void OnMessage(LinkId link, const Message& message, TimePoint now);
+
+  // The log.
+
+  LogOffset LogPosition(LogStream stream) const;
+  /// A read from `LogPosition` on, by a request that was sent at `sent_at`.
+  void OnLogRead(LogStream stream, const LogBatch& batch, TimePoint sent_at,
+                 TimePoint now);
+  void OnAppendEnded(LogStream stream, const RecordId& id, bool applied,
+                     TimePoint now);
+
+  void OnTick(TimePoint now);
+
+  // Operators.
+
+  /// Asks the worker's agent to leave; false if it is not linked here.
+  bool DrainWorker(const WorkerId& worker, TimePoint now);
+  /// Begins to leave: nothing is admitted; what was admitted is finished.
+  void Leave(TimePoint now);
+  bool leaving() const { return leaving_; }
+  bool IsIdle() const { return dispatcher_.open_jobs() == 0; }
+  /// True if a submission would be looked at now.
+  bool IsReady(TimePoint now) const { return !leaving_ && IsFresh(now); }
+
+  std::vector<EntryAction> TakeActions();
+
+  bool IsFresh(TimePoint now) const { return freshness_.IsFresh(now); }
+  std::optional<Duration> FreshnessAge(TimePoint now) const {
+    return freshness_.Age(now);
+  }
+  const Configuration& configuration() const { return configuration_; }
+  const std::deque<Decision>& decisions() const { return decisions_; }
+  const Dispatcher& dispatcher() const { return dispatcher_; }
+  const KeyTable& keys() const { return keys_; }
+  const EventRing& events() const { return events_; }
+  const EntryOptions& options() const { return options_; }
+  const std::map<LinkId, Peer>& peers() const { return peers_; }
+
+ private:
+  struct RemoteWaiter {
+    LinkId link;
+    std::uint64_t query = 0;
+  };
+  struct PendingQuery {
+    std::vector<CallerHandle> callers;  ///< Of an answer held elsewhere.
+    std::optional<JobId> claiming;      ///< Our job, if the key was minted.
+    IdempotencyKey key;
+    std::uint64_t fingerprint = 0;
+    TimePoint until;
+    LinkId link;
+  };
+
+  // Links (entry_node.cc).
+  void On(LinkId link, const Hello& hello, TimePoint now);
+  void On(LinkId link, const Members& members, TimePoint now);
+  void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
+  void On(LinkId link, const ConfigurationPull& pull, TimePoint now);
+  void On(LinkId link, const ConfigurationPush& push, TimePoint now);
+  void On(LinkId link, const Leaving& leaving, TimePoint now);
+  void On(LinkId link, const KeyQuery& query, TimePoint now);
+  void On(LinkId link, const KeyReply& reply, TimePoint now);
+  void On(LinkId link, const OfferAck& ack, TimePoint now);
+  void On(LinkId link, const Ready& ready, TimePoint now);
+  void On(LinkId link, const NotStarted& not_started, TimePoint now);
+  void On(LinkId link, const TaskResult& result, TimePoint now);
+  template <class Other>
+  void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
+
+  void BeginStep(TimePoint now);
+  void EndStep(TimePoint now);
+  void SendHeartbeats(TimePoint now);
+  void SendMembers();
+  std::set<std::string> EntryAddresses() const;
+  void CountEntries();
+  void AdoptConfiguration(const ConfigurationState& state, TimePoint now);
+  void AppendSnapshotIfDue(TimePoint now);
+  std::optional<LinkId> LinkOf(Incarnation entry) const;
+  void Send(LinkId link, Message message);
+  void Note(EventKind kind, TimePoint now, const std::string& peer,
+            std::string detail);
+
+  // Submissions and keys (entry_submissions.cc).
+  void SubmitKeyless(CallerHandle caller, Submission submission, TimePoint now);
+  void SubmitWithOwnKey(CallerHandle caller, Submission submission,
+                        TimePoint now);
+  void SubmitWithMintedKey(CallerHandle caller, Submission submission,
+                           Incarnation minter, TimePoint now);
+  void StartKeyed(CallerHandle caller, Submission submission, bool claimed,
+                  TimePoint now);
+  void JoinHolder(std::vector<CallerHandle> callers, std::uint64_t fingerprint,
+                  const KeyClaim& holder, TimePoint now);
+  void JoinLocal(const std::vector<CallerHandle>& callers, const JobId& job);
+  void AskHolder(std::vector<CallerHandle> callers, const KeyClaim& holder,
+                 LinkId link, TimePoint now);
+  void AskMinter(CallerHandle caller, Submission submission, LinkId link,
+                 TimePoint now);
+  const JobId* LocalJob(const IdempotencyKey& key) const;
+  void SettleClaims(TimePoint now);
+  void SettleClaim(const KeyTable::Decision& decision, TimePoint now);
+  void SettleMinted(PendingQuery pending, const KeyReply& reply, TimePoint now);
+  void FailQuery(const PendingQuery& pending, const std::string& why,
+                 TimePoint now);
+  void ExpireQueries(TimePoint now);
+  void FailQueriesTo(LinkId link, TimePoint now);
+  void GiveAnswer(const JobAnswer& answer, TimePoint now);
+  void Refuse(const std::vector<CallerHandle>& callers, const Error& error);
+  Error MakeError(ErrorCode code, std::string step, std::string peer,
+                  std::string message, Execution execution) const;
+
+  EntryOptions options_;
+  Random random_;
+  EventRing events_;
+  ConfigurationReader reader_;
+  Configuration configuration_;
+  Freshness freshness_;
+  Dispatcher dispatcher_;
+  KeyTable keys_;
+  AnswerStore answers_;
+  std::map<LinkId, Peer> peers_;
+  std::set<std::string> dialled_;
+  std::deque<Decision> decisions_;
+  std::unordered_map<JobId, std::vector<CallerHandle>> callers_of_;
+  std::unordered_map<CallerHandle, JobId> job_of_;
+  std::unordered_map<JobId, std::vector<RemoteWaiter>> remote_waiters_;
+  std::unordered_map<JobId, IdempotencyKey> keyed_;
+  std::unordered_map<IdempotencyKey, JobId> local_jobs_;
+  std::multimap<TimePoint, IdempotencyKey> local_expiry_;
+  std::map<std::uint64_t, PendingQuery> queries_;
+  std::uint64_t next_query_ = 1;
+  TimePoint next_heartbeat_;
+  TimePoint next_snapshot_;
+  bool leaving_ = false;
+  bool was_fresh_ = false;
+  std::vector<EntryAction> actions_;
+};
+
+/// The incarnation that minted the key; none for a caller's own key.
+std::optional<Incarnation> MinterOf(const IdempotencyKey& key);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/src/entry/entry_submissions.cc
@@ -0,0 +1,468 @@
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "base/invariant.h"
+#include "entry/entry_node.h"
+
+namespace geranium {
+namespace {
+
+constexpr std::string_view kMintedPrefix = "minted-";
+constexpr std::size_t kIncarnationDigits = 16;
+constexpr Duration kQueryTimeout{2000};
+constexpr Duration kAnswerKept{60'000};
+
+bool NothingRan(const JobAnswer& answer) {
+  return std::ranges::all_of(answer.outcomes, [](const TaskOutcome& outcome) {
+    return outcome.error && outcome.error->execution == Execution::kNotRun;
+  });
+}
+
+}  // namespace
+
+std::optional<Incarnation> MinterOf(const IdempotencyKey& key) {
+  const std::string& text = key.value();
+  if (!text.starts_with(kMintedPrefix)) return std::nullopt;
+  const std::size_t begin = kMintedPrefix.size();
+  if (text.size() < begin + kIncarnationDigits + 1) return std::nullopt;
+  std::uint64_t value = 0;
+  const char* end = text.data() + begin + kIncarnationDigits;
+  const auto [stop, status] =
+      std::from_chars(text.data() + begin, end, value, 16);
+  if (status != std::errc() || stop != end) return std::nullopt;
+  return Incarnation(value);
+}
+
+IdempotencyKey EntryNode::MintKey() {
+  return IdempotencyKey(std::string(kMintedPrefix) +
+                        ToString(options_.incarnation) + "-" +
+                        ToString(Incarnation(random_.Bits())));
+}
+
+Error EntryNode::MakeError(ErrorCode code, std::string step, std::string peer,
+                           std::string message, Execution execution) const {
+  return Error{code, std::move(step), std::move(peer), std::move(message),
+               execution};
+}
+
+void EntryNode::Refuse(const std::vector<CallerHandle>& callers,
+                       const Error& error) {
+  for (const CallerHandle& caller : callers) {
+    actions_.push_back(ReplyCaller{caller, error});
+  }
+}
+
+// ---- submissions
+
+void EntryNode::OnSubmission(CallerHandle caller, Submission submission,
+                             TimePoint now) {
+  BeginStep(now);
+  if (leaving_) {
+    Refuse({caller},
+           MakeError(ErrorCode::kUnavailable, "admit", options_.id.value(),
+                     "the entry is leaving", Execution::kNotRun));
+  } else if (!submission.key) {
+    SubmitKeyless(caller, std::move(submission), now);
+  } else if (const auto minter = MinterOf(*submission.key)) {
+    SubmitWithMintedKey(caller, std::move(submission), *minter, now);
+  } else {
+    SubmitWithOwnKey(caller, std::move(submission), now);
+  }
+  EndStep(now);
+}
+
+void EntryNode::SubmitKeyless(CallerHandle caller, Submission submission,
+                              TimePoint now) {
+  auto job = dispatcher_.Submit(std::move(submission), true, now);
+  if (!job) {
+    Refuse({caller}, job.error());
+    return;
+  }
+  JoinLocal({caller}, job.value());
+}
+
+void EntryNode::JoinLocal(const std::vector<CallerHandle>& callers,
+                          const JobId& job) {
+  if (const JobAnswer* answer = answers_.Find(job)) {
+    for (const CallerHandle& caller : callers) {
+      actions_.push_back(ReplyCaller{caller, *answer});
+    }
+    return;
+  }
+  for (const CallerHandle& caller : callers) {
+    callers_of_[job].push_back(caller);
+    job_of_[caller] = job;
+  }
+}
+
+const JobId* EntryNode::LocalJob(const IdempotencyKey& key) const {
+  const auto found = local_jobs_.find(key);
+  return found == local_jobs_.end() ? nullptr : &found->second;
+}
+
+void EntryNode::StartKeyed(CallerHandle caller, Submission submission,
+                           bool claimed, TimePoint now) {
+  const IdempotencyKey key = *submission.key;
+  const std::uint64_t fingerprint = submission.fingerprint;
+  auto job = dispatcher_.Submit(std::move(submission), claimed, now);
+  if (!job) {
+    Refuse({caller}, job.error());
+    return;
+  }
+  local_jobs_[key] = job.value();
+  local_expiry_.emplace(now + options_.key_window, key);
+  keyed_[job.value()] = key;
+  JoinLocal({caller}, job.value());
+  if (!claimed) keys_.Claim(KeyClaim{key, job.value(), fingerprint}, now);
+}
+
+void EntryNode::SubmitWithOwnKey(CallerHandle caller, Submission submission,
+                                 TimePoint now) {
+  const IdempotencyKey key = *submission.key;
+  const std::uint64_t fingerprint = submission.fingerprint;
+  if (const JobId* local = LocalJob(key)) {
+    JoinHolder({caller}, fingerprint, KeyClaim{key, *local, fingerprint}, now);
+    return;
+  }
+  if (const KeyClaim* holder = keys_.Find(key)) {
+    JoinHolder({caller}, fingerprint, *holder, now);
+    return;
+  }
+  if (!keys_.IsReady(now)) {
+    Refuse({caller}, MakeError(ErrorCode::kLogOutage, "claim", "log",
+                               "keys cannot be claimed while the log is out",
+                               Execution::kNotRun));
+    return;
+  }
+  StartKeyed(caller, std::move(submission), false, now);
+}
+
+// The callers get the answer of the job that holds the key.
+void EntryNode::JoinHolder(std::vector<CallerHandle> callers,
+                           std::uint64_t fingerprint, const KeyClaim& holder,
+                           TimePoint now) {
+  std::uint64_t held_fingerprint = holder.fingerprint;
+  const bool is_local = holder.job.entry == options_.incarnation;
+  if (const Job* job = dispatcher_.FindJob(holder.job)) {
+    held_fingerprint = job->fingerprint;
+  } else if (const JobAnswer* answer = answers_.Find(holder.job)) {
+    held_fingerprint = answer->fingerprint;
+  } else if (is_local) {
+    Refuse(callers,
+           MakeError(ErrorCode::kKeyInDoubt, "claim", options_.id.value(),
+                     "the job's answer is no longer kept",
+                     Execution::kMayHaveRun));
+    return;
+  }
+  if (held_fingerprint != fingerprint) {
+    Refuse(
+        callers,
+        MakeError(ErrorCode::kKeyConflict, "claim", options_.id.value(),
+                  "the key was used for another request", Execution::kNotRun));
+    return;
+  }
+  if (is_local || answers_.Find(holder.job) != nullptr) {
+    JoinLocal(callers, holder.job);
+    return;
+  }
+  const auto link = LinkOf(holder.job.entry);
+  if (link) {
+    AskHolder(std::move(callers), holder, *link, now);
+    return;
+  }
+  Refuse(callers,
+         MakeError(ErrorCode::kKeyInDoubt, "claim", ToString(holder.job.entry),
+                   "the entry that holds the key is gone",
+                   Execution::kMayHaveRun));
+}
+
+// ---- keys held elsewhere
+
+void EntryNode::AskHolder(std::vector<CallerHandle> callers,
+                          const KeyClaim& holder, LinkId link, TimePoint now) {
+  const std::uint64_t id = next_query_++;
+  PendingQuery& pending = queries_[id];
+  pending.callers = std::move(callers);
+  pending.key = holder.key;
+  pending.fingerprint = holder.fingerprint;
+  pending.link = link;
+  // The holder answers when the job ends, so the wait is the caller's.
+  pending.until = now + options_.key_window;
+  Send(link, KeyQuery{id, holder.key, holder.fingerprint, JobId{}});
+}
+
+void EntryNode::SubmitWithMintedKey(CallerHandle caller, Submission submission,
+                                    Incarnation minter, TimePoint now) {
+  const IdempotencyKey key = *submission.key;
+  if (const JobId* local = LocalJob(key)) {
+    JoinHolder({caller}, submission.fingerprint,
+               KeyClaim{key, *local, submission.fingerprint}, now);
+    return;
+  }
+  if (minter == options_.incarnation) {
+    StartKeyed(caller, std::move(submission), true, now);
+    return;
+  }
+  const auto link = LinkOf(minter);
+  if (!link) {
+    Refuse({caller},
+           MakeError(ErrorCode::kKeyInDoubt, "claim", ToString(minter),
+                     "the entry that minted the key is gone",
+                     Execution::kMayHaveRun));
+    return;
+  }
+  AskMinter(caller, std::move(submission), *link, now);
+}
+
+void EntryNode::AskMinter(CallerHandle caller, Submission submission,
+                          LinkId link, TimePoint now) {
+  const IdempotencyKey key = *submission.key;
+  const std::uint64_t fingerprint = submission.fingerprint;
+  auto job = dispatcher_.Submit(std::move(submission), false, now);
+  if (!job) {
+    Refuse({caller}, job.error());
+    return;
+  }
+  local_jobs_[key] = job.value();
+  local_expiry_.emplace(now + options_.key_window, key);
+  keyed_[job.value()] = key;
+  JoinLocal({caller}, job.value());
+  const std::uint64_t id = next_query_++;
+  PendingQuery& pending = queries_[id];
+  pending.claiming = job.value();
+  pending.key = key;
+  pending.fingerprint = fingerprint;
+  pending.until = now + kQueryTimeout;
+  pending.link = link;
+  Send(link, KeyQuery{id, key, fingerprint, job.value()});
+}
+
+void EntryNode::On(LinkId link, const KeyQuery& query, TimePoint now) {
+  KeyReply reply;
+  reply.query = query.query;
+  const bool minted_here = MinterOf(query.key) == options_.incarnation;
+  const JobId* local = LocalJob(query.key);
+  if (local == nullptr && minted_here) {
+    local_jobs_[query.key] = query.claimant;
+    local_expiry_.emplace(now + options_.key_window, query.key);
+    reply.state = KeyState::kClaimed;
+    reply.holder = query.claimant;
+    Send(link, reply);
+    return;
+  }
+  if (local == nullptr) {
+    Send(link, reply);
+    return;
+  }
+  reply.holder = *local;
+  if (*local == query.claimant && query.claimant.number != 0) {
+    reply.state = KeyState::kClaimed;
+  } else if (const JobAnswer* answer = answers_.Find(*local)) {
+    reply.state = KeyState::kAnswered;
+    reply.answer = *answer;
+  } else if (dispatcher_.FindJob(*local) != nullptr) {
+    remote_waiters_[*local].push_back({link, query.query});
+    return;
+  } else if (local->entry != options_.incarnation) {
+    reply.state = KeyState::kHeldBy;
+  }
+  Send(link, reply);
+}
+
+void EntryNode::On(LinkId /*link*/, const KeyReply& reply, TimePoint now) {
+  const auto found = queries_.find(reply.query);
+  if (found == queries_.end()) return;
+  PendingQuery pending = std::move(found->second);
+  queries_.erase(found);
+  if (pending.claiming) {
+    SettleMinted(std::move(pending), reply, now);
+    return;
+  }
+  if (reply.state == KeyState::kAnswered && reply.answer) {
+    if (reply.answer->fingerprint != pending.fingerprint) {
+      Refuse(pending.callers,
+             MakeError(ErrorCode::kKeyConflict, "claim", options_.id.value(),
+                       "the key was used for another request",
+                       Execution::kNotRun));
+      return;
+    }
+    for (const CallerHandle& caller : pending.callers) {
+      actions_.push_back(ReplyCaller{caller, *reply.answer});
+    }
+    return;
+  }
+  FailQuery(pending, "the holder does not know the job", now);
+}
+
+void EntryNode::SettleMinted(PendingQuery pending, const KeyReply& reply,
+                             TimePoint now) {
+  const JobId job = *pending.claiming;
+  if (reply.state == KeyState::kClaimed) {
+    dispatcher_.ClaimDecided(job, std::nullopt, now);
+    return;
+  }
+  KeyTable::Decision decision;
+  decision.job = job;
+  decision.holder.key = pending.key;
+  decision.holder.job = reply.holder;
+  decision.holder.fingerprint = pending.fingerprint;
+  if (reply.state == KeyState::kUnknown) {
+    FailQuery(pending, "the minter does not know the key", now);
+    return;
+  }
+  if (reply.answer) answers_.Put(*reply.answer, now + kAnswerKept);
+  SettleClaim(decision, now);
+}
+
+void EntryNode::FailQuery(const PendingQuery& pending, const std::string& why,
+                          TimePoint now) {
+  Error error = MakeError(ErrorCode::kKeyInDoubt, "claim",
+                          std::to_string(pending.link.value()), why,
+                          Execution::kMayHaveRun);
+  const auto peer = peers_.find(pending.link);
+  if (peer != peers_.end() && peer->second.hello) {
+    error.peer = peer->second.hello->name;
+  }
+  Refuse(pending.callers, error);
+  if (pending.claiming) {
+    dispatcher_.ClaimDecided(*pending.claiming, error, now);
+  }
+}
+
+void EntryNode::ExpireQueries(TimePoint now) {
+  for (auto item = queries_.begin(); item != queries_.end();) {
+    if (item->second.until > now) {
+      ++item;
+      continue;
+    }
+    const PendingQuery pending = std::move(item->second);
+    item = queries_.erase(item);
+    FailQuery(pending, "no answer about the key", now);
+  }
+}
+
+void EntryNode::FailQueriesTo(LinkId link, TimePoint now) {
+  for (auto item = queries_.begin(); item != queries_.end();) {
+    if (item->second.link != link) {
+      ++item;
+      continue;
+    }
+    const PendingQuery pending = std::move(item->second);
+    item = queries_.erase(item);
+    FailQuery(pending, "the link to the holder was lost", now);
+  }
+}
+
+// ---- claims on the log
+
+void EntryNode::SettleClaims(TimePoint now) {
+  for (const KeyTable::Decision& decision : keys_.TakeDecisions()) {
+    SettleClaim(decision, now);
+  }
+}
+
+void EntryNode::SettleClaim(const KeyTable::Decision& decision, TimePoint now) {
+  const JobId job = decision.job;
+  if (!decision.decided) {
+    dispatcher_.ClaimDecided(
+        job,
+        MakeError(ErrorCode::kLogOutage, "claim", "log",
+                  "the key could not be claimed in time", Execution::kNotRun),
+        now);
+    return;
+  }
+  if (decision.holder.job == job) {
+    dispatcher_.ClaimDecided(job, std::nullopt, now);
+    return;
+  }
+  // The key is another job's: this one is dropped, unseen, and its callers wait
+  // for that one.
+  std::vector<CallerHandle> callers = std::move(callers_of_[job]);
+  callers_of_.erase(job);
+  for (const CallerHandle& caller : callers) job_of_.erase(caller);
+  std::uint64_t fingerprint = decision.holder.fingerprint;
+  if (const Job* own = dispatcher_.FindJob(job)) {
+    fingerprint = own->fingerprint;
+  }
+  local_jobs_.erase(decision.holder.key);
+  keyed_.erase(job);
+  dispatcher_.ClaimDecided(
+      job,
+      MakeError(ErrorCode::kKeyConflict, "claim", options_.id.value(),
+                "the key is another job's", Execution::kNotRun),
+      now);
+  JoinHolder(std::move(callers), fingerprint, decision.holder, now);
+}
+
+// ---- answers
+
+void EntryNode::GiveAnswer(const JobAnswer& answer, TimePoint now) {
+  const auto keyed = keyed_.find(answer.job);
+  const bool has_key = keyed != keyed_.end();
+  if (has_key && NothingRan(answer)) {
+    // A minted key is free again. A key on the log stays bound to this answer,
+    // since its window cannot be made longer.
+    local_jobs_.erase(keyed->second);
+  }
+  const Duration kept = has_key ? options_.key_window : kAnswerKept;
+  answers_.Put(answer, now + kept);
+  keyed_.erase(answer.job);
+  const auto callers = callers_of_.find(answer.job);
+  if (callers != callers_of_.end()) {
+    for (const CallerHandle& caller : callers->second) {
+      CheckInvariant(Invariant::kAnswerBelongsToRequest,
+                     job_of_.at(caller) == answer.job,
+                     "answer of " + ToString(answer.job));
+      job_of_.erase(caller);
+      actions_.push_back(ReplyCaller{caller, answer});
+    }
+    callers_of_.erase(callers);
+  }
+  const auto waiters = remote_waiters_.find(answer.job);
+  if (waiters == remote_waiters_.end()) return;
+  for (const RemoteWaiter& waiter : waiters->second) {
+    KeyReply reply;
+    reply.query = waiter.query;
+    reply.state = KeyState::kAnswered;
+    reply.holder = answer.job;
+    reply.answer = answer;
+    Send(waiter.link, reply);
+  }
+  remote_waiters_.erase(waiters);
+}
+
+void EntryNode::OnCallerGone(CallerHandle caller, TimePoint now) {
+  const auto found = job_of_.find(caller);
+  if (found == job_of_.end()) return;
+  const JobId job = found->second;
+  job_of_.erase(found);
+  std::vector<CallerHandle>& callers = callers_of_[job];
+  std::erase(callers, caller);
+  if (!callers.empty()) return;
+  callers_of_.erase(job);
+  if (!keyed_.contains(job)) CancelJob(job, now);
+}
+
+void EntryNode::CancelJob(const JobId& job, TimePoint now) {
+  BeginStep(now);
+  dispatcher_.CancelJob(
+      job,
+      MakeError(ErrorCode::kCancelled, "cancel", options_.id.value(),
+                "cancelled by the caller", Execution::kNotRun),
+      now);
+  EndStep(now);
+}
+
+JobReport EntryNode::Report(const JobId& job) const {
+  JobReport report;
+  if (const JobAnswer* answer = answers_.Find(job)) {
+    report.state = JobReport::State::kAnswered;
+    report.answer = *answer;
+  } else if (dispatcher_.FindJob(job) != nullptr) {
+    report.state = JobReport::State::kRunning;
+  }
+  return report;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/entry/job.h
@@ -0,0 +1,70 @@
+#ifndef GERANIUM_ENTRY_JOB_H_
+#define GERANIUM_ENTRY_JOB_H_
+
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "contract/service_text.h"
+#include "contract/task.h"
+#include "entry/fair_queue.h"
+
+namespace geranium {
+
+enum class TaskState {
+  kWaiting,  ///< At the entry.
+  kOffered,  ///< At one or two workers, without the right to start.
+  kGranted,  ///< A worker may start it or has.
+  kDone,
+};
+
+/// One task of a job at its arbiter.
+struct Task {
+  TaskSpec spec;
+  TaskState state = TaskState::kWaiting;
+  std::vector<AttemptId> attempts;  ///< Those that are still open.
+  std::optional<AttemptId> held;    ///< Ready, while the key is unclaimed.
+  int bounces = 0;                  ///< Times it came back not started.
+  int grants_unanswered = 0;
+  bool in_doubt = false;  ///< A grant will never be answered.
+  TaskOutcome outcome;
+
+  /// True if a worker may have started it.
+  bool MayHaveRun() const { return grants_unanswered > 0 || in_doubt; }
+};
+
+/// A submission that was admitted.
+struct Job {
+  JobId id;
+  SubmissionKind kind = SubmissionKind::kJob;
+  ServiceSpec service;
+  TeamName team;
+  int weight = 1;
+  TaskClass task_class = TaskClass::kNormal;
+  std::uint64_t fingerprint = 0;
+  TimePoint submitted;
+  TimePoint deadline;
+  bool claimed = true;  ///< No key, or the key is this job's.
+  std::vector<Task> tasks;
+  std::size_t open = 0;  ///< Tasks that are not done.
+
+  /// Only a single request to an idempotent service may run more than once.
+  bool IsRepeatable() const {
+    return kind == SubmissionKind::kRequest && service.idempotent;
+  }
+};
+
+/// One attempt at a task, as the entry remembers it while it is open.
+struct Attempt {
+  TaskRef task;
+  WorkerId worker;
+  bool granted = false;
+  bool acknowledged = false;
+  TimePoint sent;
+  TimePoint granted_at;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_ENTRY_JOB_H_
--- /dev/null
+++ b/src/entry/outcome_record.h
@@ -0,0 +1,49 @@
+#ifndef GERANIUM_ENTRY_OUTCOME_RECORD_H_
+#define GERANIUM_ENTRY_OUTCOME_RECORD_H_
+
+#include <bitset>
+
+#include "base/clock.h"
+
+namespace geranium {
+
+/// Whether a worker may be given work, by the outcomes it delivered.
+enum class Standing {
+  kTrusted,
+  kQuarantined,
+  kProbation,  ///< One task at a time, until enough of them succeed.
+};
+
+/// A worker's newest outcomes and the standing that follows from them.
+class OutcomeRecord {
+ public:
+  static constexpr std::size_t kWindow = 16;
+  static constexpr std::size_t kLeastFailures = 8;
+  static constexpr int kProbationSuccesses = 4;
+  static constexpr Duration kFirstQuarantine{1000};
+  static constexpr Duration kLongestQuarantine{60'000};
+
+  /// Counts an outcome; true if the worker should now be quarantined.
+  bool Add(bool succeeded);
+
+  /// Begins a quarantine; each one lasts twice as long as the one before.
+  void Quarantine(TimePoint now);
+
+  Standing StandingAt(TimePoint now) const;
+
+  std::size_t failures() const { return failures_.count(); }
+  std::size_t outcomes() const { return outcomes_; }
+
+ private:
+  std::bitset<kWindow> failures_;
+  std::size_t next_ = 0;
+  std::size_t outcomes_ = 0;
+  bool restricted_ = false;
+  int successes_ = 0;
+  TimePoint until_;
+  Duration interval_ = kFirstQuarantine;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_ENTRY_OUTCOME_RECORD_H_
--- /dev/null
+++ b/src/link/actions.h
@@ -0,0 +1,24 @@
+#ifndef GERANIUM_LINK_ACTIONS_H_
+#define GERANIUM_LINK_ACTIONS_H_
+
+#include <string>
+
+#include "base/ids.h"
+#include "link/messages.h"
+
+namespace geranium {
+
+/// Sends a message to the peer at a link.
+struct SendMessage {
+  LinkId link;
+  Message message;
+};
+
+/// Opens a link to an entry that the process has learnt of.
+struct ConnectEntry {
+  std::string address;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_LINK_ACTIONS_H_
--- /dev/null
+++ b/src/link/web_socket/web_socket.cc
@@ -0,0 +1,164 @@
+#include "link/web_socket/web_socket.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace geranium {
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Tcp = boost::asio::ip::tcp;
+using websocketpp::connection_hdl;
+
+constexpr long kOpenTimeoutMs = 2000;
+constexpr auto kBinary = websocketpp::frame::opcode::binary;
+
+bool SplitAddress(const std::string& address, Tcp::endpoint& endpoint) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return false;
+  boost::system::error_code error;
+  const auto ip =
+      boost::asio::ip::make_address(address.substr(0, colon), error);
+  const int port = std::atoi(address.c_str() + colon + 1);
+  if (error || port <= 0 || port > 65535) return false;
+  endpoint = Tcp::endpoint(ip, static_cast<unsigned short>(port));
+  return true;
+}
+
+}  // namespace
+
+class WebSocketNode::Impl {
+ public:
+  Impl(boost::asio::io_context& io, Handlers handlers)
+      : handlers_(std::move(handlers)) {
+    Prepare(server_, io);
+    Prepare(client_, io);
+    server_.set_reuse_addr(true);
+    client_.set_open_handshake_timeout(kOpenTimeoutMs);
+  }
+
+  std::string Listen(const std::string& address) {
+    Tcp::endpoint endpoint;
+    if (!SplitAddress(address, endpoint)) return "not an ip:port: " + address;
+    websocketpp::lib::error_code error;
+    server_.listen(endpoint, error);
+    if (error) return error.message();
+    server_.start_accept(error);
+    return error ? error.message() : "";
+  }
+
+  void Dial(const std::string& address) {
+    websocketpp::lib::error_code error;
+    auto connection = client_.get_connection("ws://" + address + "/", error);
+    if (error) {
+      handlers_.on_dial_failed(address, error.message());
+      return;
+    }
+    connection->set_fail_handler([this, address](connection_hdl handle) {
+      const auto failed = client_.get_con_from_hdl(handle);
+      handlers_.on_dial_failed(address, failed->get_ec().message());
+    });
+    connection->set_open_handler([this, address](connection_hdl handle) {
+      Open(client_.get_con_from_hdl(handle), address);
+    });
+    client_.connect(connection);
+  }
+
+  void Send(ConnectionId id, const std::string& bytes) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) found->second.send(bytes);
+  }
+
+  void Close(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) found->second.close();
+  }
+
+  void Stop() {
+    websocketpp::lib::error_code ignored;
+    if (server_.is_listening()) server_.stop_listening(ignored);
+    const auto connections = connections_;
+    for (const auto& [id, connection] : connections) connection.close();
+  }
+
+ private:
+  struct Connection {
+    std::function<void(const std::string&)> send;
+    std::function<void()> close;
+  };
+
+  template <class Endpoint>
+  void Prepare(Endpoint& endpoint, boost::asio::io_context& io) {
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&io);
+    // Frames are small and each is waited for.
+    endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
+      boost::system::error_code ignored;
+      endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
+          Tcp::no_delay(true), ignored);
+    });
+    if constexpr (std::is_same_v<Endpoint, Server>) {
+      endpoint.set_open_handler([this, &endpoint](connection_hdl handle) {
+        Open(endpoint.get_con_from_hdl(handle), "");
+      });
+    }
+  }
+
+  template <class ConnectionPtr>
+  void Open(ConnectionPtr connection, const std::string& dialled) {
+    const ConnectionId id = next_id_++;
+    Connection& entry = connections_[id];
+    entry.send = [connection](const std::string& bytes) {
+      // A failed send shows as a closed connection.
+      (void)connection->send(bytes, kBinary);
+    };
+    entry.close = [connection] {
+      websocketpp::lib::error_code ignored;
+      connection->close(websocketpp::close::status::going_away, "", ignored);
+    };
+    using MessagePtr = typename ConnectionPtr::element_type::message_ptr;
+    connection->set_message_handler(
+        [this, id](connection_hdl /*handle*/, const MessagePtr& message) {
+          handlers_.on_message(id, message->get_payload());
+        });
+    connection->set_close_handler([this, id](connection_hdl /*handle*/) {
+      connections_.erase(id);
+      handlers_.on_close(id);
+    });
+    handlers_.on_open(id, dialled);
+  }
+
+  Handlers handlers_;
+  Server server_;
+  Client client_;
+  ConnectionId next_id_ = 1;
+  std::map<ConnectionId, Connection> connections_;
+};
+
+WebSocketNode::WebSocketNode(boost::asio::io_context& io, Handlers handlers)
+    : impl_(std::make_unique<Impl>(io, std::move(handlers))) {}
+
+WebSocketNode::~WebSocketNode() = default;
+
+std::string WebSocketNode::Listen(const std::string& address) {
+  return impl_->Listen(address);
+}
+
+void WebSocketNode::Dial(const std::string& address) { impl_->Dial(address); }
+
+void WebSocketNode::Send(ConnectionId id, const std::string& bytes) {
+  impl_->Send(id, bytes);
+}
+
+void WebSocketNode::Close(ConnectionId id) { impl_->Close(id); }
+
+void WebSocketNode::Stop() { impl_->Stop(); }
+
+}  // namespace geranium
--- /dev/null
+++ b/src/programs/geranium_agent.cc
@@ -0,0 +1,21 @@
+#include "runtime/agent_server.h"
+#include "runtime/logging.h"
+#include "settings/command_line.h"
+#include "settings/process_settings.h"
+
+int main(int argc, char** argv) {
+  const std::string program = "geranium-agent";
+  geranium::CommandLine command_line;
+  const auto exit = geranium::ReadCommandLine(
+      argc, argv, program,
+      "Stands beside a backend server, announces it and starts its tasks.",
+      command_line);
+  if (exit) return *exit;
+  const auto file = geranium::LoadSettings(command_line);
+  if (!file) return geranium::FailSettings(program, file.error());
+  const auto settings = geranium::ReadAgentSettings(file.value());
+  if (!settings) return geranium::FailSettings(program, settings.error());
+  if (command_line.check) return 0;
+  geranium::StartLogging(program, settings.value().node.profile.id.value());
+  return geranium::AgentServer(settings.value()).Run();
+}
--- /dev/null
+++ b/src/programs/geranium_entry.cc
@@ -0,0 +1,20 @@
+#include "runtime/entry_server.h"
+#include "runtime/logging.h"
+#include "settings/command_line.h"
+#include "settings/process_settings.h"
+
+int main(int argc, char** argv) {
+  const std::string program = "geranium-entry";
+  geranium::CommandLine command_line;
+  const auto exit = geranium::ReadCommandLine(
+      argc, argv, program, "Takes callers' work and dispatches it to workers.",
+      command_line);
+  if (exit) return *exit;
+  const auto file = geranium::LoadSettings(command_line);
+  if (!file) return geranium::FailSettings(program, file.error());
+  const auto settings = geranium::ReadEntrySettings(file.value());
+  if (!settings) return geranium::FailSettings(program, settings.error());
+  if (command_line.check) return 0;
+  geranium::StartLogging(program, settings.value().node.id.value());
+  return geranium::EntryServer(settings.value()).Run();
+}
--- /dev/null
+++ b/src/runtime/answers.cc
@@ -0,0 +1,118 @@
+#include "runtime/answers.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace geranium {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kRetryAfterS = 1;
+
+const Error* FirstError(const JobAnswer& answer) {
+  // The error that made the job fail, not the tasks dropped because of it.
+  const Error* first = nullptr;
+  for (const TaskOutcome& outcome : answer.outcomes) {
+    if (!outcome.error) continue;
+    if (first == nullptr) first = &*outcome.error;
+    if (outcome.error->code != ErrorCode::kCancelled) return &*outcome.error;
+  }
+  return first;
+}
+
+// What is true of the whole job: it was not run only if no task was.
+Execution WholeExecution(const JobAnswer& answer) {
+  Execution whole = Execution::kNotRun;
+  for (const TaskOutcome& outcome : answer.outcomes) {
+    if (!outcome.error) return Execution::kRanFailed;
+    if (outcome.error->execution == Execution::kNotRun) continue;
+    if (whole != Execution::kRanFailed) whole = outcome.error->execution;
+  }
+  return whole;
+}
+
+Json TaskToJson(const TaskOutcome& outcome) {
+  const bool succeeded = outcome.status == TaskStatus::kSucceeded;
+  Json json{{"status", succeeded ? "succeeded" : "failed"}};
+  if (outcome.http_status != 0) json["http_status"] = outcome.http_status;
+  if (!outcome.body.empty()) json["body"] = outcome.body;
+  if (outcome.error) json["error"] = ToJson(*outcome.error);
+  return json;
+}
+
+}  // namespace
+
+Json ToJson(const Error& error) {
+  return {{"code", Name(error.code)},
+          {"step", error.step},
+          {"peer", error.peer},
+          {"execution", Name(error.execution)},
+          {"message", error.message}};
+}
+
+Json ToJson(const JobAnswer& answer) {
+  Json tasks = Json::array();
+  for (const TaskOutcome& outcome : answer.outcomes) {
+    tasks.push_back(TaskToJson(outcome));
+  }
+  return {{"job", ToString(answer.job)},
+          {"status", answer.complete ? "complete" : "failed"},
+          {"tasks", std::move(tasks)}};
+}
+
+Json ToJson(const Event& event) {
+  Json json{{"sequence", event.sequence},
+            {"at_ms", event.at.ms()},
+            {"kind", Name(event.kind)}};
+  if (event.job) json["job"] = ToString(*event.job);
+  if (event.attempt) json["attempt"] = ToString(*event.attempt);
+  if (!event.peer.empty()) json["peer"] = event.peer;
+  if (!event.detail.empty()) json["detail"] = event.detail;
+  return json;
+}
+
+HttpResponse JsonResponse(int status, const Json& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body =
+      body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return response;
+}
+
+HttpResponse ErrorResponse(const Error& error) {
+  HttpResponse response =
+      JsonResponse(HttpStatus(error.code), Json{{"error", ToJson(error)}});
+  if (response.status == 503) response.retry_after_s = kRetryAfterS;
+  return response;
+}
+
+HttpResponse JobResponse(const JobAnswer& answer) {
+  if (answer.complete) return JsonResponse(200, ToJson(answer));
+  Error error;
+  error.code = ErrorCode::kInDoubt;
+  if (const Error* first = FirstError(answer)) error = *first;
+  error.execution = WholeExecution(answer);
+  Json body = ToJson(answer);
+  body["error"] = ToJson(error);
+  HttpResponse response = JsonResponse(HttpStatus(error.code), body);
+  if (response.status == 503) response.retry_after_s = kRetryAfterS;
+  return response;
+}
+
+HttpResponse RequestResponse(const JobAnswer& answer) {
+  const TaskOutcome& outcome = answer.outcomes.front();
+  if (outcome.error) {
+    HttpResponse response = ErrorResponse(*outcome.error);
+    // The backend server's own refusal is passed on as it is.
+    const bool own = outcome.http_status >= 400 && outcome.http_status < 500;
+    if (own) response.status = outcome.http_status;
+    return response;
+  }
+  HttpResponse response;
+  response.status = outcome.http_status;
+  response.body = outcome.body;
+  return response;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/entry_server.h
@@ -0,0 +1,89 @@
+#ifndef GERANIUM_RUNTIME_ENTRY_SERVER_H_
+#define GERANIUM_RUNTIME_ENTRY_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "entry/entry_node.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+#include "runtime/log_client.h"
+#include "runtime/metrics.h"
+#include "runtime/peer_links.h"
+#include "runtime/process_loop.h"
+#include "settings/process_settings.h"
+
+namespace geranium {
+
+/// An entry as a process: joins the decisions to callers, links, the log and
+/// the clock. Members that end in a comment "traffic" are used on the traffic
+/// thread, all others on the control thread.
+class EntryServer {
+ public:
+  explicit EntryServer(EntrySettings settings);
+
+  /// Runs until it is told to terminate; returns the exit status.
+  int Run();
+
+ private:
+  using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+  struct Waiting {
+    ExchangePtr exchange;
+    SubmissionKind kind = SubmissionKind::kRequest;
+    double since_ms = 0;
+  };
+
+  // On the traffic thread.
+  void OnRequest(const ExchangePtr& exchange);
+  bool RouteCaller(const ExchangePtr& exchange);
+  bool RouteOperator(const ExchangePtr& exchange);
+  void Submit(const ExchangePtr& exchange, Result<Submission> submission);
+  void ReadLog(LogStream stream, LogOffset from);
+
+  // On the control thread.
+  void Handle(const std::function<void(TimePoint)>& step);
+  void Carry();
+  void Carry(const SendMessage& action);
+  void Carry(const ConnectEntry& action);
+  void Carry(const ReplyCaller& action);
+  void Carry(const AppendRecord& action);
+  void AnswerJobReport(const ExchangePtr& exchange, const std::string& text);
+  void CancelReported(const ExchangePtr& exchange, const std::string& text);
+  void TakeHandover(const ExchangePtr& exchange);
+  void Drain(const ExchangePtr& exchange, const std::string& worker);
+  void OnLogRead(LogStream stream, TimePoint sent_at,
+                 const Result<LogBatch>& batch);
+  void NoteLog(LogStream stream, const Result<LogBatch>& batch);
+  void OnTick();
+  void OnTerminate(int count);
+  void StopIfDone(TimePoint now);
+
+  /// Runs `answer` on the control thread and replies with what it returns.
+  void ReplyFromControl(const ExchangePtr& exchange,
+                        std::function<HttpResponse(TimePoint)> answer);
+
+  EntrySettings settings_;
+  SystemClock clock_;
+  ProcessLoop loop_;
+  EntryNode node_;
+  PeerLinks links_;
+  HttpClient http_;    // traffic
+  LogClient log_;      // traffic
+  HttpServer server_;  // traffic
+  AnswerTimes answer_times_;
+  std::uint64_t next_caller_ = 1;
+  std::unordered_map<CallerHandle, Waiting> waiting_;
+  std::uint64_t logged_events_ = 0;
+  bool log_is_up_ = true;
+  Duration log_retry_;
+  std::optional<TimePoint> leaving_since_;
+  int exit_status_ = 0;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_ENTRY_SERVER_H_
--- /dev/null
+++ b/src/runtime/http_client.h
@@ -0,0 +1,72 @@
+#ifndef GERANIUM_RUNTIME_HTTP_CLIENT_H_
+#define GERANIUM_RUNTIME_HTTP_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "runtime/http.h"
+
+namespace geranium {
+
+/// One request to the server at `address` (ip:port).
+struct HttpCall {
+  std::string address;
+  std::string method = "GET";
+  std::string target = "/";
+  std::map<std::string, std::string> headers;
+  std::string body;
+  Duration timeout{5000};
+  /// Opens a connection for this call alone, so that a failure after the
+  /// connect is never repeated.
+  bool on_fresh_connection = false;
+};
+
+enum class HttpFailure {
+  kNone,
+  kNotConnected,  ///< Nothing was sent.
+  kNoAnswer,      ///< Something may have been sent; no whole answer came.
+  kAborted,
+};
+
+struct HttpOutcome {
+  HttpFailure failure = HttpFailure::kNone;
+  HttpResponse response;
+  std::string message;
+};
+
+/// An HTTP/1.1 client. Keeps connections alive for calls that may be repeated.
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpOutcome)>;
+  using Handle = std::shared_ptr<void>;
+
+  explicit HttpClient(boost::asio::io_context& io);
+  ~HttpClient();
+
+  /// Starts a call; `callback` runs on the io_context's thread. The handle may
+  /// be given to `Abort`. To be called on that thread.
+  Handle Start(HttpCall call, Callback callback);
+  void Abort(const Handle& handle);
+  /// Closes the connections that are kept.
+  void CloseIdle();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+/// Makes one call and waits for its end, on a thread of the caller's own.
+HttpOutcome Fetch(const HttpCall& call);
+
+/// The outcome as a response, or as an error with this step and the peer.
+Result<HttpResponse> ToResult(const HttpOutcome& outcome,
+                              const std::string& step, const std::string& peer);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/runtime/http_server.cc
@@ -0,0 +1,259 @@
+#include "runtime/http_server.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <chrono>
+#include <utility>
+
+namespace geranium {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto kIdleTimeout = std::chrono::seconds(120);
+constexpr auto kWriteTimeout = std::chrono::seconds(30);
+
+std::string LowerCase(std::string text) {
+  for (char& c : text) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return text;
+}
+
+HttpRequest ToRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  SplitTarget(std::string(message.target()), request);
+  for (const auto& field : message) {
+    request.headers[LowerCase(std::string(field.name_string()))] =
+        std::string(field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+// The reply to what cannot be read as a request.
+HttpResponse ParseFailure(const beast::error_code& error) {
+  const bool too_large = error == http::error::body_limit;
+  HttpResponse response;
+  response.status = too_large ? 413 : 400;
+  response.body =
+      std::string(R"({"error":{"code":")") +
+      (too_large ? "too_large" : "malformed") +
+      R"(","step":"read request","peer":"caller","execution":"not_run",)" +
+      R"("message":")" + error.message() + R"("}})" + "\n";
+  return response;
+}
+
+class Exchange final : public HttpExchange,
+                       public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(asio::io_context& io, HttpRequest request)
+      : io_(io), request_(std::move(request)), answered_(io) {
+    answered_.expires_at(asio::steady_timer::time_point::max());
+  }
+
+  const HttpRequest& request() const override { return request_; }
+
+  void Reply(HttpResponse response) override {
+    asio::post(io_, [self = shared_from_this(),
+                     response = std::move(response)]() mutable {
+      if (self->response_) return;
+      self->response_ = std::move(response);
+      self->answered_.cancel();
+    });
+  }
+
+  void SetOnGone(std::function<void()> on_gone) override {
+    asio::post(io_, [self = shared_from_this(),
+                     on_gone = std::move(on_gone)]() mutable {
+      self->on_gone_ = std::move(on_gone);
+      if (self->gone_) self->Gone();
+    });
+  }
+
+  asio::awaitable<HttpResponse> Wait() {
+    while (!response_) {
+      beast::error_code ignored;
+      co_await answered_.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    on_gone_ = nullptr;
+    co_return std::move(*response_);
+  }
+
+  void Gone() {
+    gone_ = true;
+    if (on_gone_ && !response_) std::exchange(on_gone_, nullptr)();
+  }
+
+ private:
+  asio::io_context& io_;
+  HttpRequest request_;
+  asio::steady_timer answered_;
+  std::optional<HttpResponse> response_;
+  std::function<void()> on_gone_;
+  bool gone_ = false;
+};
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, Handler handler)
+      : io_(io), acceptor_(io), handler_(std::move(handler)) {}
+
+  std::string Listen(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) return "not an ip:port: " + address;
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (error) return error.message();
+    const int port = std::atoi(address.c_str() + colon + 1);
+    const tcp::endpoint endpoint(ip, static_cast<unsigned short>(port));
+    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor_.bind(endpoint, error);
+    if (error) return error.message();
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error) return error.message();
+    asio::co_spawn(io_, Accept(shared_from_this()), asio::detached);
+    return "";
+  }
+
+  void StopListening() {
+    asio::post(io_, [self = shared_from_this()] {
+      beast::error_code ignored;
+      self->acceptor_.close(ignored);
+      self->stopping_ = true;
+    });
+  }
+
+  std::size_t unanswered() const { return unanswered_; }
+
+ private:
+  static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
+    while (self->acceptor_.is_open()) {
+      beast::error_code error;
+      tcp::socket socket = co_await self->acceptor_.async_accept(
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) continue;
+      socket.set_option(tcp::no_delay(true), error);
+      asio::co_spawn(self->io_, Serve(self, std::move(socket)), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> Serve(std::shared_ptr<Impl> self,
+                                     tcp::socket socket) {
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    while (true) {
+      http::request_parser<http::string_body> parser;
+      parser.body_limit(kMostBodyBytes);
+      stream.expires_after(kIdleTimeout);
+      beast::error_code error;
+      co_await http::async_read(
+          stream, buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+      const bool no_request = error == http::error::end_of_stream ||
+                              error == asio::error::operation_aborted ||
+                              error == asio::error::connection_reset ||
+                              error == beast::error::timeout;
+      if (no_request) break;
+      if (error) {
+        co_await Write(stream, ParseFailure(error), 11, false);
+        break;
+      }
+      auto message = parser.release();
+      const bool keep = message.keep_alive() && !self->stopping_;
+      const unsigned version = message.version();
+      ++self->unanswered_;
+      const HttpResponse response =
+          co_await Handle(self, stream, ToRequest(std::move(message)));
+      const bool written = co_await Write(stream, response, version, keep);
+      --self->unanswered_;
+      if (!written || !keep) break;
+    }
+    co_await Finish(stream);
+  }
+
+  static asio::awaitable<HttpResponse> Handle(std::shared_ptr<Impl> self,
+                                              beast::tcp_stream& stream,
+                                              HttpRequest request) {
+    auto exchange = std::make_shared<Exchange>(self->io_, std::move(request));
+    // While the request is worked on, a reset shows as an error condition;
+    // the end of the caller's sending does not.
+    stream.expires_never();
+    stream.socket().async_wait(tcp::socket::wait_error,
+                               [exchange](const beast::error_code& wait_error) {
+                                 if (!wait_error) exchange->Gone();
+                               });
+    self->handler_(exchange);
+    HttpResponse response = co_await exchange->Wait();
+    beast::error_code ignored;
+    stream.socket().cancel(ignored);
+    co_return response;
+  }
+
+  static asio::awaitable<bool> Write(beast::tcp_stream& stream,
+                                     HttpResponse response, unsigned version,
+                                     bool keep) {
+    http::response<http::string_body> message(
+        static_cast<http::status>(response.status), version);
+    message.set(http::field::content_type, response.content_type);
+    if (response.retry_after_s) {
+      message.set(http::field::retry_after,
+                  std::to_string(*response.retry_after_s));
+    }
+    message.keep_alive(keep);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    stream.expires_after(kWriteTimeout);
+    beast::error_code error;
+    co_await http::async_write(
+        stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+  }
+
+  // Closes in a way that lets the last answer reach a caller that is still
+  // sending.
+  static asio::awaitable<void> Finish(beast::tcp_stream& stream) {
+    beast::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.expires_after(std::chrono::seconds(1));
+    char rest[4096];
+    beast::error_code error;
+    while (!error) {
+      co_await stream.async_read_some(
+          asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
+    }
+    stream.close();
+  }
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  Handler handler_;
+  bool stopping_ = false;
+  std::atomic<std::size_t> unanswered_ = 0;
+};
+
+HttpServer::HttpServer(asio::io_context& io, Handler handler)
+    : impl_(std::make_shared<Impl>(io, std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+std::string HttpServer::Listen(const std::string& address) {
+  return impl_->Listen(address);
+}
+
+void HttpServer::StopListening() { impl_->StopListening(); }
+
+std::size_t HttpServer::unanswered() const { return impl_->unanswered(); }
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/log_client.cc
@@ -0,0 +1,105 @@
+#include "runtime/log_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace geranium {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Target(LogStream stream) {
+  return "/v1/streams/" + std::string(Name(stream)) + "/records";
+}
+
+HttpCall ReadCall(const std::string& address, LogStream stream, LogOffset from,
+                  Duration wait) {
+  HttpCall call;
+  call.address = address;
+  call.target = Target(stream) + "?from=" + std::to_string(from.value()) +
+                "&wait_ms=" + std::to_string(wait.ms());
+  call.timeout = wait + LogClient::kSlack;
+  return call;
+}
+
+HttpCall AppendCall(const std::string& address, LogStream stream,
+                    const RecordId& id, const std::string& body) {
+  HttpCall call;
+  call.address = address;
+  call.method = "POST";
+  call.target = Target(stream) + "?id=" + id.value();
+  call.body = body;
+  call.timeout = LogClient::kAppendTimeout;
+  return call;
+}
+
+template <class T, class Parse>
+Result<T> ParseAnswer(const HttpOutcome& outcome, const std::string& step,
+                      Parse parse) {
+  BOOST_OUTCOME_TRY(response, ToResult(outcome, step, "log"));
+  if (response.status != 200) {
+    return Error{ErrorCode::kLogOutage, step, "log",
+                 "status " + std::to_string(response.status),
+                 Execution::kMayHaveRun};
+  }
+  try {
+    return parse(Json::parse(response.body));
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kMalformed, step, "log", error.what(),
+                 Execution::kMayHaveRun};
+  }
+}
+
+Result<LogBatch> ParseBatch(const HttpOutcome& outcome) {
+  return ParseAnswer<LogBatch>(outcome, "read log", [](const Json& json) {
+    LogBatch batch;
+    batch.first = LogOffset(json.at("first").get<std::int64_t>());
+    batch.next = LogOffset(json.at("next").get<std::int64_t>());
+    for (const Json& item : json.at("records")) {
+      LogRecord record;
+      record.offset = LogOffset(item.at("offset").get<std::int64_t>());
+      record.id = RecordId(item.at("id").get<std::string>());
+      record.age = Duration(item.at("age_ms").get<std::int64_t>());
+      record.body = item.at("body").get<std::string>();
+      batch.records.push_back(std::move(record));
+    }
+    return batch;
+  });
+}
+
+Result<LogOffset> ParseOffset(const HttpOutcome& outcome) {
+  return ParseAnswer<LogOffset>(outcome, "append", [](const Json& json) {
+    return LogOffset(json.at("offset").get<std::int64_t>());
+  });
+}
+
+}  // namespace
+
+void LogClient::Read(LogStream stream, LogOffset from, Duration wait,
+                     std::function<void(Result<LogBatch>)> done) {
+  http_.Start(ReadCall(address_, stream, from, wait),
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ParseBatch(outcome));
+              });
+}
+
+void LogClient::Append(LogStream stream, const RecordId& id,
+                       const std::string& body,
+                       std::function<void(Result<LogOffset>)> done) {
+  http_.Start(AppendCall(address_, stream, id, body),
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ParseOffset(outcome));
+              });
+}
+
+Result<LogBatch> ReadLog(const std::string& address, LogStream stream,
+                         LogOffset from) {
+  return ParseBatch(Fetch(ReadCall(address, stream, from, Duration(0))));
+}
+
+Result<LogOffset> AppendToLog(const std::string& address, LogStream stream,
+                              const RecordId& id, const std::string& body) {
+  return ParseOffset(Fetch(AppendCall(address, stream, id, body)));
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/log_client.h
@@ -0,0 +1,45 @@
+#ifndef GERANIUM_RUNTIME_LOG_CLIENT_H_
+#define GERANIUM_RUNTIME_LOG_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "contract/log.h"
+#include "runtime/http_client.h"
+
+namespace geranium {
+
+/// Talks to the platform's log service. An append that fails may have been
+/// applied all the same; its record id tells when it is read back.
+class LogClient {
+ public:
+  static constexpr Duration kReadWait{1000};
+  static constexpr Duration kSlack{1000};
+  static constexpr Duration kAppendTimeout{3000};
+
+  LogClient(HttpClient& http, std::string address)
+      : http_(http), address_(std::move(address)) {}
+
+  /// Reads from `from` on; waits at the service for up to `wait` if there is
+  /// nothing yet.
+  void Read(LogStream stream, LogOffset from, Duration wait,
+            std::function<void(Result<LogBatch>)> done);
+  void Append(LogStream stream, const RecordId& id, const std::string& body,
+              std::function<void(Result<LogOffset>)> done);
+
+ private:
+  HttpClient& http_;
+  std::string address_;
+};
+
+/// The same, each call waited for; for the operators' command.
+Result<LogBatch> ReadLog(const std::string& address, LogStream stream,
+                         LogOffset from);
+Result<LogOffset> AppendToLog(const std::string& address, LogStream stream,
+                              const RecordId& id, const std::string& body);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_LOG_CLIENT_H_
--- /dev/null
+++ b/src/runtime/logging.cc
@@ -0,0 +1,98 @@
+#include "runtime/logging.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <memory>
+
+namespace geranium {
+namespace {
+
+std::string Quoted(const std::string& value) {
+  const bool plain =
+      !value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos;
+  if (plain) return value;
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') quoted += '\\';
+    quoted += c == '\n' ? ' ' : c;
+  }
+  return quoted + "\"";
+}
+
+log4cplus::Logger& RootLogger() {
+  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+  return logger;
+}
+
+bool IsStateChange(EventKind kind) {
+  switch (kind) {
+    case EventKind::kInDoubt:
+    case EventKind::kLinkUp:
+    case EventKind::kLinkDown:
+    case EventKind::kConfiguration:
+    case EventKind::kFreshness:
+    case EventKind::kHealth:
+    case EventKind::kLeaving:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+void StartLogging(const std::string& program, const std::string& instance) {
+  static log4cplus::Initializer initializer;
+  const auto appender =
+      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+  const std::string pattern =
+      "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p program=" + program +
+      " instance=" + Quoted(instance) + " %m%n";
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+  RootLogger().addAppender(appender);
+  RootLogger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void LogChange(LogLevel level, const std::string& event,
+               const LogFields& fields) {
+  std::string line = "event=" + event;
+  for (const auto& [key, value] : fields)
+    line += " " + key + "=" + Quoted(value);
+  switch (level) {
+    case LogLevel::kInfo:
+      LOG4CPLUS_INFO(RootLogger(), line);
+      break;
+    case LogLevel::kWarning:
+      LOG4CPLUS_WARN(RootLogger(), line);
+      break;
+    case LogLevel::kError:
+      LOG4CPLUS_ERROR(RootLogger(), line);
+      break;
+  }
+}
+
+LogFields FieldsOf(const Error& error) {
+  return {{"code", std::string(Name(error.code))},
+          {"step", error.step},
+          {"peer", error.peer},
+          {"message", error.message}};
+}
+
+std::uint64_t LogStateChanges(const EventRing& events, std::uint64_t after) {
+  for (const Event& event : events.After(after)) {
+    after = event.sequence;
+    if (!IsStateChange(event.kind)) continue;
+    LogFields fields{{"peer", event.peer}, {"detail", event.detail}};
+    if (event.job) fields.emplace_back("job", ToString(*event.job));
+    const bool is_doubt = event.kind == EventKind::kInDoubt;
+    LogChange(is_doubt ? LogLevel::kWarning : LogLevel::kInfo,
+              std::string(Name(event.kind)), fields);
+  }
+  return after;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/logging.h
@@ -0,0 +1,33 @@
+#ifndef GERANIUM_RUNTIME_LOGGING_H_
+#define GERANIUM_RUNTIME_LOGGING_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/events.h"
+
+namespace geranium {
+
+enum class LogLevel { kInfo, kWarning, kError };
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Begins logging to standard error: one line of key=value pairs each.
+void StartLogging(const std::string& program, const std::string& instance);
+
+/// Logs a change of state. `event` is a fixed name; what varies is in fields.
+void LogChange(LogLevel level, const std::string& event,
+               const LogFields& fields);
+
+/// The error as fields.
+LogFields FieldsOf(const Error& error);
+
+/// Logs those events that are changes of state of the process as a whole.
+/// Returns the sequence number up to which it has looked.
+std::uint64_t LogStateChanges(const EventRing& events, std::uint64_t after);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_LOGGING_H_
--- /dev/null
+++ b/src/runtime/metrics.cc
@@ -0,0 +1,228 @@
+#include "runtime/metrics.h"
+
+#include <prometheus/text_serializer.h>
+#include <sys/resource.h>
+
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace geranium {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricType;
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+class FamilyBuilder {
+ public:
+  void Counter(const std::string& name, const std::string& help, double value,
+               const Labels& labels = {}) {
+    ClientMetric& metric = Add(name, help, MetricType::Counter, labels);
+    metric.counter.value = value;
+  }
+
+  void Gauge(const std::string& name, const std::string& help, double value,
+             const Labels& labels = {}) {
+    ClientMetric& metric = Add(name, help, MetricType::Gauge, labels);
+    metric.gauge.value = value;
+  }
+
+  MetricFamilies Take() { return std::move(families_); }
+
+ private:
+  ClientMetric& Add(const std::string& name, const std::string& help,
+                    MetricType type, const Labels& labels) {
+    if (families_.empty() || families_.back().name != name) {
+      families_.push_back({name, help, type, {}});
+    }
+    ClientMetric& metric = families_.back().metric.emplace_back();
+    for (const auto& [key, value] : labels)
+      metric.label.push_back({key, value});
+    return metric;
+  }
+
+  MetricFamilies families_;
+};
+
+double Count(std::uint64_t value) { return static_cast<double>(value); }
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double ResidentBytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) * 1024;
+}
+
+void AddProcess(FamilyBuilder& builder, const PeerLinks& links) {
+  builder.Counter("process_cpu_seconds_total",
+                  "Processor time of the process in seconds",
+                  ProcessorSeconds());
+  builder.Gauge("process_resident_memory_max_bytes",
+                "Largest resident set of the process in bytes",
+                ResidentBytes());
+  builder.Counter("geranium_link_frames_sent_total", "Frames sent to peers",
+                  Count(links.frames_sent()));
+  builder.Counter("geranium_link_sent_bytes_total", "Bytes sent to peers",
+                  Count(links.bytes_sent()));
+}
+
+void AddInvariants(FamilyBuilder& builder) {
+  const InvariantMonitor& monitor = InvariantMonitor::Global();
+  const auto each = [&](const auto& add) {
+    for (std::size_t i = 0; i < InvariantMonitor::kKinds; ++i) {
+      const auto invariant = static_cast<Invariant>(i);
+      add(invariant, Labels{{"invariant", std::string(Name(invariant))}});
+    }
+  };
+  each([&](Invariant invariant, const Labels& labels) {
+    builder.Counter("geranium_invariant_checks_total",
+                    "Checks of each invariant",
+                    Count(monitor.checks(invariant)), labels);
+  });
+  each([&](Invariant invariant, const Labels& labels) {
+    builder.Counter("geranium_invariant_violations_total",
+                    "Checks of each invariant that failed",
+                    Count(monitor.violations(invariant)), labels);
+  });
+}
+
+void AddDispatcher(FamilyBuilder& builder, const DispatcherCounters& counts) {
+  builder.Counter("geranium_submissions_total", "Submissions received",
+                  Count(counts.submissions));
+  builder.Counter("geranium_submissions_refused_total",
+                  "Submissions refused at admission", Count(counts.refused));
+  builder.Counter("geranium_answers_total",
+                  "Answers given, by whether complete",
+                  Count(counts.answers_complete), {{"state", "complete"}});
+  builder.Counter("geranium_answers_total",
+                  "Answers given, by whether complete",
+                  Count(counts.answers_failed), {{"state", "failed"}});
+  builder.Counter("geranium_offers_total", "Offers sent to workers",
+                  Count(counts.offers));
+  builder.Counter("geranium_second_offers_total",
+                  "Offers of a waiting task to a second worker",
+                  Count(counts.second_offers));
+  builder.Counter("geranium_grants_total", "Rights to start given",
+                  Count(counts.grants));
+  builder.Counter("geranium_results_total", "Results received",
+                  Count(counts.results));
+  builder.Counter("geranium_late_results_total",
+                  "Results for attempts that were closed",
+                  Count(counts.late_results));
+  builder.Counter("geranium_not_started_total",
+                  "Attempts that a worker gave back unstarted",
+                  Count(counts.not_started));
+  builder.Counter("geranium_withdrawn_total", "Attempts taken back",
+                  Count(counts.withdrawn));
+  builder.Counter("geranium_hedges_total",
+                  "Second attempts at late idempotent requests",
+                  Count(counts.hedges));
+  builder.Counter("geranium_retries_total",
+                  "Repeats of failed idempotent requests",
+                  Count(counts.retries));
+  builder.Counter("geranium_in_doubt_total",
+                  "Grants that were given up without an answer",
+                  Count(counts.in_doubt));
+  builder.Counter("geranium_task_messages_sent_total",
+                  "Messages about tasks sent to workers",
+                  Count(counts.messages_sent));
+  builder.Counter("geranium_task_messages_received_total",
+                  "Messages about tasks received from workers",
+                  Count(counts.messages_received));
+  builder.Counter("geranium_task_messages_wasted_total",
+                  "Messages that led to no start that counted",
+                  Count(counts.wasted_messages));
+}
+
+}  // namespace
+
+MetricFamilies EntryMetrics(const EntryNode& node, const PeerLinks& links,
+                            TimePoint now) {
+  FamilyBuilder builder;
+  const Dispatcher& dispatcher = node.dispatcher();
+  AddDispatcher(builder, dispatcher.counters());
+  builder.Gauge("geranium_open_jobs", "Submissions not answered yet",
+                Count(dispatcher.open_jobs()));
+  builder.Gauge("geranium_waiting_tasks", "Tasks that wait at the entry",
+                Count(dispatcher.waiting_tasks()));
+  builder.Gauge("geranium_workers", "Workers known",
+                Count(dispatcher.workers().workers().size()));
+  builder.Gauge("geranium_keys", "Idempotency keys remembered",
+                Count(node.keys().size()));
+  builder.Counter("geranium_claim_appends_total",
+                  "Appends to the claims stream", Count(node.keys().appends()));
+  builder.Gauge("geranium_configuration_version", "Version in force",
+                static_cast<double>(node.configuration().version().value()));
+  builder.Gauge("geranium_configuration_fresh",
+                "1 if the version in force is confirmed",
+                node.IsFresh(now) ? 1 : 0);
+  AddInvariants(builder);
+  AddProcess(builder, links);
+  return builder.Take();
+}
+
+MetricFamilies AgentMetrics(const AgentNode& node, const PeerLinks& links,
+                            TimePoint now) {
+  FamilyBuilder builder;
+  const AgentCounters& counts = node.counters();
+  builder.Counter("geranium_agent_offers_total", "Offers received",
+                  Count(counts.offers));
+  builder.Counter("geranium_agent_readies_total", "Slots held for an offer",
+                  Count(counts.readies));
+  builder.Counter("geranium_agent_starts_total",
+                  "Calls to the backend server started", Count(counts.starts));
+  builder.Counter("geranium_agent_results_total", "Results produced",
+                  Count(counts.results));
+  builder.Counter("geranium_agent_not_started_total",
+                  "Attempts given back unstarted", Count(counts.not_started));
+  builder.Counter("geranium_agent_late_grants_total",
+                  "Grants that came too late", Count(counts.late_grants));
+  builder.Counter("geranium_agent_duplicates_total",
+                  "Offers and grants seen before", Count(counts.duplicates));
+  const WorkerLoad load = node.Load(std::nullopt, now);
+  builder.Gauge("geranium_agent_running", "Slots in use", load.running);
+  builder.Gauge("geranium_agent_queued", "Offers that wait", load.queued);
+  builder.Gauge("geranium_agent_backend_health",
+                "0 answering, 1 quiet, 2 failing",
+                static_cast<double>(load.health));
+  builder.Gauge(
+      "geranium_configuration_version", "Version in force",
+      static_cast<double>(node.gate().configuration().version().value()));
+  builder.Gauge("geranium_configuration_fresh",
+                "1 if the version in force is confirmed",
+                node.gate().IsFresh(now) ? 1 : 0);
+  AddInvariants(builder);
+  AddProcess(builder, links);
+  return builder.Take();
+}
+
+std::string MetricsText(const MetricFamilies& families) {
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+AnswerTimes::AnswerTimes() {
+  const prometheus::Histogram::BucketBoundaries bounds{
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+  auto& family = prometheus::BuildHistogram()
+                     .Name("geranium_answer_seconds")
+                     .Help("Time from a submission to its answer in seconds")
+                     .Register(registry_);
+  requests_ = &family.Add({{"kind", "request"}}, bounds);
+  jobs_ = &family.Add({{"kind", "job"}}, bounds);
+}
+
+void AnswerTimes::Observe(SubmissionKind kind, double seconds) {
+  (kind == SubmissionKind::kRequest ? requests_ : jobs_)->Observe(seconds);
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/peer_links.h
@@ -0,0 +1,71 @@
+#ifndef GERANIUM_RUNTIME_PEER_LINKS_H_
+#define GERANIUM_RUNTIME_PEER_LINKS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "link/messages.h"
+#include "link/web_socket/web_socket.h"
+
+namespace geranium {
+
+/// The links of one process to its peers. Calls and handlers are on the control
+/// thread; sockets and the codec are on the traffic thread. What is sent within
+/// one turn of the control thread travels in one frame for each link.
+class PeerLinks {
+ public:
+  struct Handlers {
+    std::function<void(LinkId)> on_up;
+    std::function<void(LinkId, const Message&)> on_message;
+    std::function<void(LinkId)> on_down;
+    /// After all messages of a frame.
+    std::function<void()> after_frame;
+  };
+
+  PeerLinks(boost::asio::io_context& control, boost::asio::io_context& traffic,
+            Handlers handlers, std::uint64_t seed);
+  ~PeerLinks();
+
+  /// Takes links at `ip:port`; to be called before the threads start. Returns
+  /// what went wrong, or nothing.
+  std::string Listen(const std::string& address);
+  /// Connects to `ip:port`, again and again with growing jittered waits.
+  void Keep(const std::string& address);
+  void Send(LinkId link, Message message);
+  /// Hands over what was sent since the last flush.
+  void Flush();
+  /// Closes all links and dials no more.
+  void Stop();
+
+  std::uint64_t frames_sent() const { return frames_sent_; }
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+ private:
+  // On the traffic thread.
+  void OnOpen(std::uint64_t id, const std::string& dialled);
+  void OnBytes(std::uint64_t id, const std::string& bytes);
+  void OnClose(std::uint64_t id);
+  void DialLater(const std::string& address);
+
+  boost::asio::io_context& control_;
+  boost::asio::io_context& traffic_;
+  Handlers handlers_;
+  Random random_;
+  bool stopping_ = false;
+  std::map<std::uint64_t, std::string> dialled_;
+  std::map<std::string, Duration> dial_waits_;
+  std::map<LinkId, Frame> outgoing_;
+  std::atomic<std::uint64_t> frames_sent_ = 0;
+  std::atomic<std::uint64_t> bytes_sent_ = 0;
+  std::unique_ptr<WebSocketNode> sockets_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_PEER_LINKS_H_
--- /dev/null
+++ b/src/runtime/process_loop.cc
@@ -0,0 +1,53 @@
+#include "runtime/process_loop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+namespace geranium {
+
+ProcessLoop::ProcessLoop()
+    : control_(1), traffic_(1), tick_(control_), signals_(control_) {
+  std::signal(SIGPIPE, SIG_IGN);
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+}
+
+void ProcessLoop::Run(std::function<void()> on_tick,
+                      std::function<void(int)> on_terminate) {
+  on_tick_ = std::move(on_tick);
+  on_terminate_ = std::move(on_terminate);
+  const auto control_work = boost::asio::make_work_guard(control_);
+  const auto traffic_work = boost::asio::make_work_guard(traffic_);
+  WaitTick();
+  WaitSignal();
+  std::thread traffic_thread([this] { traffic_.run(); });
+  control_.run();
+  traffic_.stop();
+  traffic_thread.join();
+}
+
+void ProcessLoop::Stop() { control_.stop(); }
+
+// A tick that is late, for example after the process was paused, is followed by
+// the next one a whole tick later.
+void ProcessLoop::WaitTick() {
+  tick_.expires_after(std::chrono::milliseconds(kTick.ms()));
+  tick_.async_wait([this](const auto& error) {
+    if (error) return;
+    on_tick_();
+    WaitTick();
+  });
+}
+
+void ProcessLoop::WaitSignal() {
+  signals_.async_wait([this](const auto& error, int /*signal*/) {
+    if (error) return;
+    on_terminate_(++signal_count_);
+    WaitSignal();
+  });
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/process_loop.h
@@ -0,0 +1,45 @@
+#ifndef GERANIUM_RUNTIME_PROCESS_LOOP_H_
+#define GERANIUM_RUNTIME_PROCESS_LOOP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+#include "base/clock.h"
+
+namespace geranium {
+
+/// The two threads of a process: one for control state, which is the caller of
+/// `Run`, and one for traffic.
+class ProcessLoop {
+ public:
+  static constexpr Duration kTick{10};
+
+  ProcessLoop();
+
+  boost::asio::io_context& control() { return control_; }
+  boost::asio::io_context& traffic() { return traffic_; }
+
+  /// Runs until `Stop`. `on_tick` is called at every tick, `on_terminate` at
+  /// each SIGTERM or SIGINT with how many there were.
+  void Run(std::function<void()> on_tick,
+           std::function<void(int count)> on_terminate);
+  void Stop();
+
+ private:
+  void WaitTick();
+  void WaitSignal();
+
+  boost::asio::io_context control_;
+  boost::asio::io_context traffic_;
+  boost::asio::steady_timer tick_;
+  boost::asio::signal_set signals_;
+  std::function<void()> on_tick_;
+  std::function<void(int)> on_terminate_;
+  int signal_count_ = 0;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_PROCESS_LOOP_H_
--- /dev/null
+++ b/src/settings/ini.h
@@ -0,0 +1,77 @@
+#ifndef GERANIUM_SETTINGS_INI_H_
+#define GERANIUM_SETTINGS_INI_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+
+namespace geranium {
+
+/// One section of an INI file, read key by key. Remembers which keys were
+/// read, so that unknown ones can be refused, and the first error.
+class IniSection {
+ public:
+  IniSection(std::string file, std::string name,
+             std::map<std::string, std::string> values);
+
+  const std::string& name() const { return name_; }
+
+  std::string Text(const std::string& key, const std::string& fallback);
+  /// A key that has to be there.
+  std::string Required(const std::string& key);
+  std::int64_t Integer(const std::string& key, std::int64_t fallback,
+                       std::int64_t least, std::int64_t most);
+  bool Flag(const std::string& key, bool fallback);
+  /// A comma-separated list.
+  std::vector<std::string> List(const std::string& key);
+
+  /// Records an error about `key` unless there is one already.
+  void Refuse(const std::string& key, const std::string& what);
+
+  /// Succeeds if no key was refused and none was left unread.
+  Result<void> Finish();
+
+ private:
+  std::optional<std::string> Take(const std::string& key);
+
+  std::string file_;
+  std::string name_;
+  std::map<std::string, std::string> values_;
+  std::set<std::string> known_;
+  std::optional<std::string> problem_;
+};
+
+/// An INI file as its sections, in the order of the file.
+class IniFile {
+ public:
+  /// `name` is used in errors only.
+  static Result<IniFile> Parse(const std::string& name,
+                               const std::string& text);
+  static Result<IniFile> Read(const std::string& path);
+
+  std::vector<IniSection> sections() const;
+  /// The section `name`; an empty one if the file has none.
+  IniSection Section(const std::string& name) const;
+
+  /// Sets a value as if it stood in the file.
+  void Override(const std::string& section, const std::string& key,
+                const std::string& value);
+
+ private:
+  struct Entry {
+    std::string name;
+    std::map<std::string, std::string> values;
+  };
+
+  std::string file_;
+  std::vector<Entry> entries_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_SETTINGS_INI_H_
--- /dev/null
+++ b/src/settings/process_settings.cc
@@ -0,0 +1,190 @@
+#include "settings/process_settings.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <random>
+#include <set>
+
+namespace geranium {
+namespace {
+
+constexpr std::int64_t kMostMs = 86'400'000;
+constexpr std::int64_t kMostSlots = 4096;
+
+bool IsAddress(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  boost::system::error_code error;
+  boost::asio::ip::make_address(text.substr(0, colon), error);
+  if (error) return false;
+  int port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, status] =
+      std::from_chars(text.data() + colon + 1, end, port);
+  return status == std::errc() && stop == end && port >= 1 && port <= 65535;
+}
+
+std::string ReadAddress(IniSection& section, const std::string& key) {
+  std::string address = section.Required(key);
+  if (!address.empty() && !IsAddress(address)) {
+    section.Refuse(key, "is '" + address +
+                            "'; allowed is an IP number, a colon and a port");
+  }
+  return address;
+}
+
+std::vector<std::string> ReadAddresses(IniSection& section,
+                                       const std::string& key) {
+  std::vector<std::string> addresses = section.List(key);
+  for (const std::string& address : addresses) {
+    if (IsAddress(address)) continue;
+    section.Refuse(key, "has '" + address +
+                            "'; allowed is an IP number, a colon and a port");
+  }
+  return addresses;
+}
+
+Duration ReadMs(IniSection& section, const std::string& key, Duration fallback,
+                std::int64_t least = 1) {
+  return Duration(section.Integer(key, fallback.ms(), least, kMostMs));
+}
+
+Result<void> AllowSections(const IniFile& file,
+                           const std::set<std::string>& allowed) {
+  for (const IniSection& section : file.sections()) {
+    if (allowed.contains(section.name())) continue;
+    std::string names;
+    for (const std::string& name : allowed) names += " [" + name + "]";
+    return Error{
+        ErrorCode::kInvalidSetting, "read settings", "",
+        "section [" + section.name() + "] is unknown; allowed are" + names,
+        Execution::kNotRun};
+  }
+  return boost::outcome_v2::success();
+}
+
+LogOutageRule ReadOutageRule(IniSection& section) {
+  const std::string name = section.Text("log_outage", "majority");
+  if (name == "stop") return LogOutageRule::kStop;
+  if (name != "majority") {
+    section.Refuse("log_outage",
+                   "is '" + name + "'; allowed is majority or stop");
+  }
+  return LogOutageRule::kMajority;
+}
+
+PolicyChoice ReadPolicy(IniSection& section) {
+  const std::string name = section.Text("policy", "late_binding");
+  if (name == "push") return PushToLeastLoaded{};
+  if (name != "late_binding") {
+    section.Refuse("policy",
+                   "is '" + name + "'; allowed is late_binding or push");
+  }
+  return LateBinding{};
+}
+
+Result<void> ReadDispatch(const IniFile& file, DispatcherOptions& options) {
+  IniSection section = file.Section("dispatch");
+  options.policy = ReadPolicy(section);
+  options.queue_limit = static_cast<std::size_t>(
+      section.Integer("queue_limit", 20'000, 1, 10'000'000));
+  options.default_deadline =
+      ReadMs(section, "default_deadline_ms", options.default_deadline);
+  options.worker_lost = ReadMs(section, "worker_lost_ms", options.worker_lost);
+  options.hedge = section.Flag("hedge", options.hedge);
+  return section.Finish();
+}
+
+Result<void> ReadLog(const IniFile& file, EntrySettings& settings) {
+  IniSection section = file.Section("log");
+  settings.log_address = ReadAddress(section, "address");
+  EntryOptions& node = settings.node;
+  node.log_retention = ReadMs(section, "retention_ms", node.log_retention);
+  node.key_window = ReadMs(section, "key_window_ms", node.key_window);
+  node.log_outage = ReadOutageRule(section);
+  if (node.key_window >= node.log_retention) {
+    section.Refuse("key_window_ms",
+                   "has to be shorter than retention_ms, which is " +
+                       std::to_string(node.log_retention.ms()));
+  }
+  return section.Finish();
+}
+
+}  // namespace
+
+std::uint64_t DrawIncarnation() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+Result<EntrySettings> ReadEntrySettings(const IniFile& file) {
+  BOOST_OUTCOME_TRYV(
+      AllowSections(file, {"entry", "peers", "log", "dispatch"}));
+  EntrySettings settings;
+  EntryOptions& node = settings.node;
+  IniSection entry = file.Section("entry");
+  node.id = EntryId(entry.Required("id"));
+  node.link_address = ReadAddress(entry, "link_address");
+  node.http_address = ReadAddress(entry, "http_address");
+  node.heartbeat = ReadMs(entry, "heartbeat_ms", node.heartbeat);
+  node.freshness_limit = ReadMs(entry, "freshness_ms", node.freshness_limit);
+  settings.shutdown_limit =
+      ReadMs(entry, "shutdown_limit_ms", settings.shutdown_limit);
+  settings.shutdown_linger =
+      ReadMs(entry, "shutdown_linger_ms", settings.shutdown_linger, 0);
+  BOOST_OUTCOME_TRYV(entry.Finish());
+  IniSection peers = file.Section("peers");
+  settings.entry_addresses = ReadAddresses(peers, "entries");
+  BOOST_OUTCOME_TRYV(peers.Finish());
+  BOOST_OUTCOME_TRYV(ReadLog(file, settings));
+  BOOST_OUTCOME_TRYV(ReadDispatch(file, node.dispatcher));
+  node.incarnation = Incarnation(DrawIncarnation());
+  node.seed = DrawIncarnation();
+  return settings;
+}
+
+Result<AgentSettings> ReadAgentSettings(const IniFile& file) {
+  BOOST_OUTCOME_TRYV(AllowSections(file, {"worker", "backend", "entries"}));
+  AgentSettings settings;
+  AgentOptions& node = settings.node;
+  IniSection worker = file.Section("worker");
+  node.profile.id = WorkerId(worker.Required("id"));
+  node.profile.data_centre = DataCentreName(worker.Required("data_centre"));
+  for (const std::string& service : worker.List("services")) {
+    node.profile.services.emplace_back(service);
+  }
+  if (node.profile.services.empty()) {
+    worker.Refuse("services", "is missing; name at least one service");
+  }
+  node.profile.slots =
+      static_cast<int>(worker.Integer("slots", 8, 1, kMostSlots));
+  node.profile.capacity.cpu =
+      static_cast<double>(worker.Integer("cpu", 32, 1, 1024));
+  node.profile.capacity.memory_mb =
+      worker.Integer("memory_mb", 65'536, 1, 16'777'216);
+  node.profile.capacity.accelerators = worker.Integer("accelerators", 0, 0, 64);
+  node.http_address = ReadAddress(worker, "http_address");
+  node.grant_ttl = ReadMs(worker, "grant_ttl_ms", node.grant_ttl);
+  node.heartbeat = ReadMs(worker, "heartbeat_ms", node.heartbeat);
+  node.freshness_limit = ReadMs(worker, "freshness_ms", node.freshness_limit);
+  node.queue_limit = static_cast<int>(worker.Integer(
+      "queue_limit", std::int64_t{2} * node.profile.slots, 1, 100'000));
+  node.urgent_reserve =
+      static_cast<int>(worker.Integer("urgent_reserve", 1, 0, kMostSlots));
+  settings.shutdown_limit =
+      ReadMs(worker, "shutdown_limit_ms", settings.shutdown_limit);
+  BOOST_OUTCOME_TRYV(worker.Finish());
+  IniSection backend = file.Section("backend");
+  settings.backend_address = ReadAddress(backend, "address");
+  BOOST_OUTCOME_TRYV(backend.Finish());
+  IniSection entries = file.Section("entries");
+  settings.entry_addresses = ReadAddresses(entries, "addresses");
+  if (settings.entry_addresses.empty()) {
+    entries.Refuse("addresses", "is missing; name at least one entry");
+  }
+  BOOST_OUTCOME_TRYV(entries.Finish());
+  node.incarnation = Incarnation(DrawIncarnation());
+  return settings;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/worker/agent_node.cc
@@ -0,0 +1,633 @@
+#include "worker/agent_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace geranium {
+namespace {
+
+constexpr Duration kResultResend{1000};
+constexpr Duration kResultRetention{30'000};
+constexpr Duration kStartMemory{60'000};
+constexpr Duration kUrgentMemory{10'000};
+constexpr Duration kProbeTimeout{500};
+constexpr Duration kLeavingLimit{3000};
+constexpr int kLeastSlotsForReserve = 4;
+
+}  // namespace
+
+AgentNode::AgentNode(AgentOptions options)
+    : options_(std::move(options)),
+      gate_(options_.profile.data_centre, options_.profile.id,
+            options_.freshness_limit) {}
+
+std::vector<AgentAction> AgentNode::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+void AgentNode::Send(LinkId link, Message message) {
+  actions_.push_back(SendMessage{link, std::move(message)});
+}
+
+template <class Typed>
+void AgentNode::SendToEntry(Incarnation entry, Typed message, TimePoint now) {
+  const auto found = entry_links_.find(entry);
+  if (found == entry_links_.end()) return;
+  message.load = Load(found->second, now);
+  Send(found->second, std::move(message));
+}
+
+void AgentNode::Note(EventKind kind, TimePoint now, const Attempt* attempt,
+                     std::string detail) {
+  Event event;
+  event.at = now;
+  event.kind = kind;
+  event.detail = std::move(detail);
+  if (attempt != nullptr) {
+    event.job = attempt->offer.job;
+    event.attempt = attempt->offer.attempt;
+    event.peer = ToString(attempt->offer.attempt.entry);
+  }
+  events_.Add(std::move(event));
+}
+
+Error AgentNode::Reason(ErrorCode code, std::string step,
+                        std::string message) const {
+  return Error{code, std::move(step), options_.profile.id.value(),
+               std::move(message), Execution::kNotRun};
+}
+
+// ---- links
+
+void AgentNode::OnLinkUp(LinkId link, TimePoint now) {
+  peers_[link] = Peer{};
+  Hello hello;
+  hello.role = ProcessRole::kAgent;
+  hello.name = options_.profile.id.value();
+  hello.incarnation = options_.incarnation;
+  hello.http_address = options_.http_address;
+  hello.worker = options_.profile;
+  Send(link, hello);
+  Heartbeat heartbeat;
+  heartbeat.sent_at = now;
+  heartbeat.version = gate_.configuration().version();
+  heartbeat.load = Load(link, now);
+  Send(link, heartbeat);
+}
+
+void AgentNode::OnLinkDown(LinkId link, TimePoint now) {
+  const auto found = peers_.find(link);
+  if (found == peers_.end()) return;
+  const auto hello = found->second.hello;
+  peers_.erase(found);
+  if (!hello) return;
+  const auto current = entry_links_.find(hello->incarnation);
+  if (current == entry_links_.end() || current->second != link) return;
+  entry_links_.erase(current);
+  entry_lost_[hello->incarnation] = now;
+  Note(EventKind::kLinkDown, now, nullptr, hello->name);
+  std::vector<AttemptId> orphans;
+  for (const auto& [id, attempt] : attempts_) {
+    if (id.entry != hello->incarnation || attempt.offer.granted) continue;
+    if (attempt.state == State::kQueued) orphans.push_back(id);
+  }
+  for (const AttemptId& id : orphans) {
+    DropUnstarted(id, Reason(ErrorCode::kConnection, "offer", "link lost"),
+                  now);
+  }
+  ServeQueue(now);
+}
+
+void AgentNode::OnMessage(LinkId link, const Message& message, TimePoint now) {
+  if (!peers_.contains(link)) return;
+  std::visit([&](const auto& typed) { On(link, typed, now); }, message);
+}
+
+void AgentNode::On(LinkId link, const Hello& hello, TimePoint now) {
+  peers_[link].hello = hello;
+  entry_links_[hello.incarnation] = link;
+  entry_lost_.erase(hello.incarnation);
+  Note(EventKind::kLinkUp, now, nullptr, hello.name);
+  for (auto& [id, attempt] : attempts_) {
+    if (id.entry != hello.incarnation) continue;
+    if (attempt.state == State::kDone) SendResult(attempt, now);
+  }
+}
+
+void AgentNode::On(LinkId /*link*/, const Members& members, TimePoint /*now*/) {
+  for (const std::string& address : members.entry_addresses) {
+    if (!known_entries_.insert(address).second) continue;
+    actions_.push_back(ConnectEntry{address});
+  }
+}
+
+// ---- configuration
+
+void AgentNode::On(LinkId link, const Heartbeat& heartbeat, TimePoint now) {
+  peers_[link].newest_sent_at = heartbeat.sent_at;
+  const Version own = gate_.configuration().version();
+  if (heartbeat.version > own) Send(link, ConfigurationPull{own});
+  if (!heartbeat.echo || !heartbeat.confirmed_age) return;
+  gate_.Confirm(heartbeat.version, *heartbeat.echo - *heartbeat.confirmed_age);
+  CloseGateIfNeeded(now);
+  ServeQueue(now);
+}
+
+void AgentNode::On(LinkId link, const ConfigurationPull& pull,
+                   TimePoint /*now*/) {
+  const ConfigurationState& state = gate_.configuration().state();
+  if (state.version > pull.have) Send(link, ConfigurationPush{state});
+}
+
+void AgentNode::On(LinkId /*link*/, const ConfigurationPush& push,
+                   TimePoint now) {
+  if (!gate_.Adopt(push.state)) return;
+  Note(EventKind::kConfiguration, now, nullptr,
+       "version " + std::to_string(push.state.version.value()));
+  CloseGateIfNeeded(now);
+  ServeQueue(now);
+}
+
+// What was offered is handed back at once when the gate closes, so that it
+// moves to another worker without waiting for a time-out.
+void AgentNode::CloseGateIfNeeded(TimePoint now) {
+  const auto reason = gate_.ClosedBecause(now);
+  const bool open = !reason.has_value();
+  if (open != gate_open_) {
+    gate_open_ = open;
+    Note(EventKind::kFreshness, now, nullptr,
+         open ? "gate open" : reason->message);
+  }
+  if (reason) DropAllUnstarted(*reason, now);
+}
+
+bool AgentNode::IsServing(TimePoint now) const {
+  return !entry_links_.empty() && !leaving() && !gate_.ClosedBecause(now);
+}
+
+// ---- offers
+
+// Once starts are forgotten, nothing can be said about an old attempt: neither
+// that it ran nor that it did not, so it is passed over in silence.
+bool AgentNode::MayHaveStarted(const AttemptId& id) const {
+  if (started_.contains(id)) return true;
+  const auto found = forgotten_.find(id.entry);
+  return found != forgotten_.end() && id.number <= found->second;
+}
+
+std::optional<Error> AgentNode::RefuseOffer(const Offer& offer,
+                                            TimePoint now) const {
+  if (leaving()) {
+    return Reason(ErrorCode::kUnavailable, "offer", "the worker is leaving");
+  }
+  if (monitor_.health() == BackendHealth::kQuiet) {
+    return Reason(ErrorCode::kUnavailable, "offer",
+                  "the backend server is quiet");
+  }
+  if (auto closed = gate_.ClosedBecause(now)) return closed;
+  if (gate_.configuration().FindService(offer.service) == nullptr) {
+    return Reason(ErrorCode::kUnknownService, "offer",
+                  "service " + offer.service.value() + " is not in force");
+  }
+  if (static_cast<int>(queue_.size()) >= options_.queue_limit) {
+    return Reason(ErrorCode::kOverloaded, "offer", "the queue is full");
+  }
+  if (!options_.profile.capacity.Holds(offer.size)) {
+    return Reason(ErrorCode::kFitsNoWorker, "offer",
+                  "the task is larger than the worker");
+  }
+  return std::nullopt;
+}
+
+void AgentNode::On(LinkId link, const Offer& offer, TimePoint now) {
+  ++counters_.offers;
+  ++peers_[link].offers_seen;
+  if (attempts_.contains(offer.attempt) || MayHaveStarted(offer.attempt)) {
+    ++counters_.duplicates;
+    return;
+  }
+  if (auto reason = RefuseOffer(offer, now)) {
+    ++counters_.not_started;
+    SendToEntry(offer.attempt.entry, NotStarted{offer.attempt, *reason, {}},
+                now);
+    return;
+  }
+  Attempt& attempt = attempts_[offer.attempt];
+  attempt.offer = offer;
+  attempt.deadline = now + offer.time_left;
+  queue_.Add(offer.attempt, offer.task_class, attempt.deadline);
+  if (offer.task_class == TaskClass::kUrgent) last_urgent_ = now;
+  Note(EventKind::kOfferReceived, now, &attempt, "");
+  ServeQueue(now);
+  if (attempt.state == State::kQueued) Acknowledge(attempt, now);
+}
+
+void AgentNode::Acknowledge(const Attempt& attempt, TimePoint now) {
+  SendToEntry(attempt.offer.attempt.entry,
+              OfferAck{attempt.offer.attempt, ExpectedWait(), {}}, now);
+}
+
+Duration AgentNode::ExpectedWait() const {
+  const Duration usual = run_times_.P99(Duration(100)) / 2;
+  const auto ahead = static_cast<std::int64_t>(queue_.size());
+  return usual * ahead / std::max(1, options_.profile.slots);
+}
+
+int AgentNode::FreeSlots() const {
+  const int allowed = monitor_.AllowedCalls(options_.profile.slots);
+  return std::max(0, allowed - holding_ - running_);
+}
+
+// While urgent work comes in, the last slots are kept for it: a slot that
+// frees on one worker is rarer than the wait that urgent work can bear.
+bool AgentNode::SlotsOnlyForUrgent(TimePoint now) const {
+  if (options_.profile.slots < kLeastSlotsForReserve) return false;
+  if (now - last_urgent_ > kUrgentMemory) return false;
+  return FreeSlots() <= options_.urgent_reserve;
+}
+
+void AgentNode::ServeQueue(TimePoint now) {
+  while (ServeNext(now)) {
+  }
+}
+
+bool AgentNode::ServeNext(TimePoint now) {
+  if (queue_.size() == 0 || FreeSlots() == 0) return false;
+  if (gate_.ClosedBecause(now)) return false;
+  const auto id = queue_.Pop(SlotsOnlyForUrgent(now));
+  if (!id) return false;
+  Attempt& attempt = attempts_.at(*id);
+  Resources left = options_.profile.capacity;
+  left -= in_use_;
+  if (!left.Holds(attempt.offer.size)) {
+    queue_.Add(*id, attempt.offer.task_class, attempt.deadline);
+    return false;
+  }
+  if (attempt.offer.granted) {
+    Start(attempt, now);
+  } else {
+    HoldSlot(attempt, now);
+  }
+  return true;
+}
+
+void AgentNode::HoldSlot(Attempt& attempt, TimePoint now) {
+  attempt.state = State::kReady;
+  attempt.ready_since = now;
+  ++holding_;
+  in_use_ += attempt.offer.size;
+  ++counters_.readies;
+  Note(EventKind::kReadySent, now, &attempt, "");
+  SendToEntry(attempt.offer.attempt.entry, Ready{attempt.offer.attempt, {}},
+              now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Grant& grant, TimePoint now) {
+  const auto found = attempts_.find(grant.attempt);
+  if (found == attempts_.end()) {
+    if (MayHaveStarted(grant.attempt)) {
+      ++counters_.duplicates;
+      return;
+    }
+    ++counters_.late_grants;
+    SendToEntry(grant.attempt.entry,
+                NotStarted{grant.attempt,
+                           Reason(ErrorCode::kUnavailable, "grant",
+                                  "the grant came after its time to live"),
+                           {}},
+                now);
+    return;
+  }
+  Attempt& attempt = found->second;
+  if (attempt.state != State::kReady) {
+    ++counters_.duplicates;
+    return;
+  }
+  if (now - attempt.ready_since > options_.grant_ttl) {
+    ++counters_.late_grants;
+    DropUnstarted(grant.attempt,
+                  Reason(ErrorCode::kUnavailable, "grant",
+                         "the grant came after its time to live"),
+                  now);
+    return;
+  }
+  if (const auto closed = gate_.ClosedBecause(now)) {
+    DropUnstarted(grant.attempt, *closed, now);
+    return;
+  }
+  attempt.offer.payload = grant.payload;
+  Note(EventKind::kGrantReceived, now, &attempt, "");
+  --holding_;
+  in_use_ -= attempt.offer.size;
+  Start(attempt, now);
+}
+
+void AgentNode::CheckStart(TimePoint now) const {
+  const bool is_in = gate_.configuration().IsIn(options_.profile.data_centre);
+  CheckInvariant(Invariant::kNoStartInDataCentreOut,
+                 is_in && gate_.IsFresh(now),
+                 "start at " + options_.profile.id.value());
+  const bool left = leaving_since_ && now - *leaving_since_ > kLeavingLimit;
+  CheckInvariant(Invariant::kLeavingGetsNoWork, !left,
+                 "start at " + options_.profile.id.value());
+}
+
+void AgentNode::Start(Attempt& attempt, TimePoint now) {
+  CheckStart(now);
+  const AttemptId id = attempt.offer.attempt;
+  const bool is_first = started_.emplace(id, now).second;
+  CheckInvariant(Invariant::kStartsAtMostOnce, is_first,
+                 "attempt " + ToString(id) + " started again");
+  started_order_.emplace_back(now, id);
+  attempt.state = State::kRunning;
+  attempt.started = now;
+  ++running_;
+  in_use_ += attempt.offer.size;
+  ++counters_.starts;
+  const ServiceSpec* spec =
+      gate_.configuration().FindService(attempt.offer.service);
+  StartCall call;
+  call.attempt = id;
+  call.job = attempt.offer.job;
+  call.task = attempt.offer.task;
+  call.path = spec == nullptr ? "/" : spec->path;
+  call.timeout = spec == nullptr ? ServiceSpec().timeout : spec->timeout;
+  call.payload = std::exchange(attempt.offer.payload, {});
+  call.repeatable = attempt.offer.repeatable;
+  monitor_.CallStarted(id, attempt.offer.service, call.timeout, now);
+  Note(EventKind::kCallStarted, now, &attempt, attempt.offer.service.value());
+  actions_.push_back(std::move(call));
+}
+
+// ---- giving attempts back
+
+void AgentNode::TakeOut(const Attempt& attempt) {
+  if (attempt.state == State::kQueued) {
+    queue_.Remove(attempt.offer.attempt, attempt.offer.task_class,
+                  attempt.deadline);
+  }
+  if (attempt.state == State::kReady) {
+    --holding_;
+    in_use_ -= attempt.offer.size;
+  }
+}
+
+void AgentNode::DropUnstarted(const AttemptId& id, Error reason,
+                              TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  TakeOut(found->second);
+  Note(EventKind::kNotStarted, now, &found->second, reason.message);
+  attempts_.erase(found);
+  ++counters_.not_started;
+  SendToEntry(id.entry, NotStarted{id, std::move(reason), {}}, now);
+}
+
+void AgentNode::DropAllUnstarted(const Error& reason, TimePoint now) {
+  std::vector<AttemptId> unstarted;
+  for (const auto& [id, attempt] : attempts_) {
+    const bool waits =
+        attempt.state == State::kQueued || attempt.state == State::kReady;
+    if (waits) unstarted.push_back(id);
+  }
+  for (const AttemptId& id : unstarted) DropUnstarted(id, reason, now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Withdraw& withdraw, TimePoint now) {
+  const auto found = attempts_.find(withdraw.attempt);
+  if (found == attempts_.end()) return;
+  const State state = found->second.state;
+  if (state != State::kQueued && state != State::kReady) return;
+  TakeOut(found->second);
+  attempts_.erase(found);
+  ServeQueue(now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Cancel& cancel, TimePoint now) {
+  const auto found = attempts_.find(cancel.attempt);
+  if (found == attempts_.end()) return;
+  if (found->second.state == State::kRunning) {
+    actions_.push_back(AbortCall{cancel.attempt});
+    return;
+  }
+  if (found->second.state == State::kDone) return;
+  DropUnstarted(cancel.attempt,
+                Reason(ErrorCode::kCancelled, "cancel", "cancelled"), now);
+  ServeQueue(now);
+}
+
+// ---- results
+
+void AgentNode::OnCallEnded(const AttemptId& id, const CallReport& report,
+                            TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  Attempt& attempt = found->second;
+  if (attempt.state != State::kRunning) return;
+  --running_;
+  in_use_ -= attempt.offer.size;
+  run_times_.Add(now - attempt.started);
+  const BackendHealth before = monitor_.health();
+  monitor_.CallEnded(id, report.end, now);
+  if (monitor_.health() != before) {
+    Note(EventKind::kHealth, now, &attempt, report.message);
+  }
+  Note(EventKind::kCallEnded, now, &attempt, report.message);
+  if (report.end == CallEnd::kNotConnected) {
+    // Nothing was sent, so the attempt has not started; its id stays
+    // remembered, since a second grant for it must not start it either.
+    attempt.state = State::kDone;
+    DropUnstarted(
+        id, Reason(ErrorCode::kUnavailable, "connect", report.message), now);
+  } else {
+    Finish(attempt, report, now);
+  }
+  WatchBackend(now);
+  ServeQueue(now);
+}
+
+void AgentNode::Finish(Attempt& attempt, const CallReport& report,
+                       TimePoint now) {
+  TaskResult result;
+  result.attempt = attempt.offer.attempt;
+  result.job = attempt.offer.job;
+  result.task = attempt.offer.task;
+  result.run_time = now - attempt.started;
+  result.unreachable = report.end == CallEnd::kNoAnswer;
+  TaskOutcome& outcome = result.outcome;
+  outcome.http_status = report.http_status;
+  outcome.body = report.body;
+  const bool succeeded = report.end == CallEnd::kAnswered &&
+                         report.http_status >= 200 && report.http_status < 300;
+  if (succeeded) {
+    outcome.status = TaskStatus::kSucceeded;
+  } else {
+    const bool answered =
+        report.end == CallEnd::kAnswered || report.end == CallEnd::kFailed;
+    outcome.error = Reason(
+        answered ? ErrorCode::kBackendFailed : ErrorCode::kInDoubt, "call",
+        answered ? "status " + std::to_string(report.http_status)
+                 : report.message);
+    outcome.error->execution =
+        answered ? Execution::kRanFailed : Execution::kMayHaveRun;
+    if (report.end == CallEnd::kAborted) {
+      outcome.error->code = ErrorCode::kCancelled;
+    }
+  }
+  attempt.state = State::kDone;
+  attempt.result = std::move(result);
+  ++counters_.results;
+  SendResult(attempt, now);
+}
+
+void AgentNode::SendResult(Attempt& attempt, TimePoint now) {
+  attempt.result_sent = now;
+  SendToEntry(attempt.offer.attempt.entry, *attempt.result, now);
+}
+
+void AgentNode::On(LinkId /*link*/, const ResultAck& ack, TimePoint /*now*/) {
+  const auto found = attempts_.find(ack.attempt);
+  if (found == attempts_.end()) return;
+  if (found->second.state == State::kDone) attempts_.erase(found);
+}
+
+void AgentNode::ResendResults(TimePoint now) {
+  std::vector<AttemptId> abandoned;
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kDone) continue;
+    if (entry_links_.contains(id.entry)) {
+      if (now - attempt.result_sent >= kResultResend) SendResult(attempt, now);
+      continue;
+    }
+    const auto lost = entry_lost_.find(id.entry);
+    const bool gone =
+        lost == entry_lost_.end() || now - lost->second > kResultRetention;
+    if (gone) abandoned.push_back(id);
+  }
+  for (const AttemptId& id : abandoned) attempts_.erase(id);
+}
+
+// ---- time
+
+void AgentNode::OnTick(TimePoint now) {
+  SendHeartbeats(now);
+  CloseGateIfNeeded(now);
+  ExpireReadies(now);
+  ExpireQueued(now);
+  WatchBackend(now);
+  ResendResults(now);
+  ForgetOldStarts(now);
+  ServeQueue(now);
+}
+
+void AgentNode::SendHeartbeats(TimePoint now) {
+  if (now < next_heartbeat_) return;
+  next_heartbeat_ = now + options_.heartbeat;
+  for (const auto& [link, peer] : peers_) {
+    Heartbeat heartbeat;
+    heartbeat.sent_at = now;
+    heartbeat.echo = peer.newest_sent_at;
+    heartbeat.version = gate_.configuration().version();
+    heartbeat.confirmed_age = gate_.Age(now);
+    heartbeat.load = Load(link, now);
+    Send(link, heartbeat);
+  }
+}
+
+void AgentNode::ExpireReadies(TimePoint now) {
+  if (holding_ == 0) return;
+  std::vector<AttemptId> expired;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kReady) continue;
+    if (now - attempt.ready_since > options_.grant_ttl) expired.push_back(id);
+  }
+  for (const AttemptId& id : expired) {
+    DropUnstarted(
+        id, Reason(ErrorCode::kUnavailable, "ready", "no grant in time"), now);
+  }
+}
+
+void AgentNode::ExpireQueued(TimePoint now) {
+  if (queue_.size() == 0) return;
+  std::vector<AttemptId> expired;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state == State::kQueued && attempt.deadline < now) {
+      expired.push_back(id);
+    }
+  }
+  for (const AttemptId& id : expired) {
+    DropUnstarted(
+        id, Reason(ErrorCode::kDeadline, "queue", "the deadline passed"), now);
+  }
+}
+
+void AgentNode::WatchBackend(TimePoint now) {
+  if (monitor_.Tick(now)) {
+    Note(EventKind::kHealth, now, nullptr, "the backend server is quiet");
+  }
+  if (monitor_.health() == BackendHealth::kQuiet) {
+    DropAllUnstarted(
+        Reason(ErrorCode::kUnavailable, "queue", "the backend server is quiet"),
+        now);
+  }
+  if (!monitor_.ProbeDue(now)) return;
+  const auto& services = options_.profile.services;
+  const ServiceSpec* spec =
+      services.empty() ? nullptr
+                       : gate_.configuration().FindService(services.front());
+  actions_.push_back(
+      ProbeBackend{spec == nullptr ? "/" : spec->path, kProbeTimeout});
+}
+
+void AgentNode::OnProbeEnded(bool answered, TimePoint now) {
+  monitor_.ProbeEnded(answered, now);
+  if (answered) Note(EventKind::kHealth, now, nullptr, "a probe was answered");
+  ServeQueue(now);
+}
+
+void AgentNode::ForgetOldStarts(TimePoint now) {
+  while (!started_order_.empty()) {
+    const auto& [at, id] = started_order_.front();
+    if (now - at <= kStartMemory || attempts_.contains(id)) return;
+    std::uint64_t& newest = forgotten_[id.entry];
+    newest = std::max(newest, id.number);
+    started_.erase(id);
+    started_order_.pop_front();
+  }
+}
+
+// ---- leaving
+
+void AgentNode::Leave(TimePoint now) {
+  if (leaving()) return;
+  leaving_since_ = now;
+  Note(EventKind::kLeaving, now, nullptr, "");
+  DropAllUnstarted(
+      Reason(ErrorCode::kUnavailable, "queue", "the worker is leaving"), now);
+  for (const auto& [link, peer] : peers_) {
+    Send(link, Leaving{Load(link, now)});
+  }
+}
+
+void AgentNode::On(LinkId /*link*/, const Drain& drain, TimePoint now) {
+  if (drain.worker == options_.profile.id) Leave(now);
+}
+
+WorkerLoad AgentNode::Load(std::optional<LinkId> link, TimePoint now) const {
+  WorkerLoad load;
+  load.urgent_free_slots = FreeSlots();
+  load.free_slots = SlotsOnlyForUrgent(now) ? 0 : FreeSlots();
+  if (link) {
+    const auto peer = peers_.find(*link);
+    if (peer != peers_.end()) load.offers_seen = peer->second.offers_seen;
+  }
+  load.running = running_ + holding_;
+  load.queued = static_cast<int>(queue_.size());
+  load.health = monitor_.health();
+  load.leaving = leaving();
+  return load;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/worker/agent_node.h
@@ -0,0 +1,185 @@
+#ifndef GERANIUM_WORKER_AGENT_NODE_H_
+#define GERANIUM_WORKER_AGENT_NODE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/events.h"
+#include "base/ids.h"
+#include "link/messages.h"
+#include "worker/actions.h"
+#include "worker/backend_monitor.h"
+#include "worker/offer_queue.h"
+#include "worker/start_gate.h"
+
+namespace geranium {
+
+/// What an agent is told by its settings.
+struct AgentOptions {
+  WorkerProfile profile;
+  Incarnation incarnation;
+  std::string http_address;
+  Duration grant_ttl{200};
+  Duration heartbeat{250};
+  Duration freshness_limit = Freshness::kDefaultLimit;
+  int queue_limit = 16;
+  int urgent_reserve = 1;
+};
+
+/// How a call to the backend server ended, with its answer if there was one.
+struct CallReport {
+  CallEnd end = CallEnd::kNoAnswer;
+  int http_status = 0;
+  std::string body;
+  std::string message;
+};
+
+/// Counts for metrics.
+struct AgentCounters {
+  std::uint64_t offers = 0;
+  std::uint64_t readies = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t results = 0;
+  std::uint64_t not_started = 0;
+  std::uint64_t late_grants = 0;
+  std::uint64_t duplicates = 0;
+};
+
+/// The decisions of the process beside a backend server: queues offers, says
+/// when a slot is ready, starts what is granted, and keeps each result until
+/// its entry has it. Holds no socket, thread or clock.
+class AgentNode {
+ public:
+  explicit AgentNode(AgentOptions options);
+
+  /// Entries that are dialled already, by link address.
+  void KnowEntries(const std::vector<std::string>& addresses) {
+    known_entries_.insert(addresses.begin(), addresses.end());
+  }
+
+  void OnLinkUp(LinkId link, TimePoint now);
+  void OnLinkDown(LinkId link, TimePoint now);
+  void OnMessage(LinkId link, const Message& message, TimePoint now);
+  void OnCallEnded(const AttemptId& attempt, const CallReport& report,
+                   TimePoint now);
+  void OnProbeEnded(bool answered, TimePoint now);
+  void OnTick(TimePoint now);
+
+  /// Begins to leave: no new work; what runs is finished and delivered.
+  void Leave(TimePoint now);
+  bool leaving() const { return leaving_since_.has_value(); }
+  /// True when nothing runs and no result waits to be acknowledged.
+  bool IsIdle() const { return attempts_.empty(); }
+  /// Attempts that are running or whose results are undelivered.
+  std::size_t unfinished() const { return attempts_.size(); }
+
+  std::vector<AgentAction> TakeActions();
+
+  /// The load as told to the peer at `link`.
+  WorkerLoad Load(std::optional<LinkId> link, TimePoint now) const;
+  const StartGate& gate() const { return gate_; }
+  const AgentOptions& options() const { return options_; }
+  const AgentCounters& counters() const { return counters_; }
+  const EventRing& events() const { return events_; }
+  /// True while a link is up to an entry that confirms the configuration.
+  bool IsServing(TimePoint now) const;
+
+ private:
+  enum class State { kQueued, kReady, kRunning, kDone };
+
+  struct Attempt {
+    Offer offer;
+    State state = State::kQueued;
+    TimePoint deadline;
+    TimePoint ready_since;
+    TimePoint started;
+    TimePoint result_sent;
+    std::optional<TaskResult> result;
+  };
+
+  struct Peer {
+    std::optional<Hello> hello;
+    std::optional<TimePoint> newest_sent_at;
+    std::uint64_t offers_seen = 0;
+  };
+
+  void On(LinkId link, const Hello& hello, TimePoint now);
+  void On(LinkId link, const Members& members, TimePoint now);
+  void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
+  void On(LinkId link, const ConfigurationPull& pull, TimePoint now);
+  void On(LinkId link, const ConfigurationPush& push, TimePoint now);
+  void On(LinkId link, const Offer& offer, TimePoint now);
+  void On(LinkId link, const Grant& grant, TimePoint now);
+  void On(LinkId link, const Withdraw& withdraw, TimePoint now);
+  void On(LinkId link, const Cancel& cancel, TimePoint now);
+  void On(LinkId link, const ResultAck& ack, TimePoint now);
+  void On(LinkId link, const Drain& drain, TimePoint now);
+  template <class Other>
+  void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
+
+  bool MayHaveStarted(const AttemptId& id) const;
+  std::optional<Error> RefuseOffer(const Offer& offer, TimePoint now) const;
+  void Acknowledge(const Attempt& attempt, TimePoint now);
+  void ServeQueue(TimePoint now);
+  bool ServeNext(TimePoint now);
+  void HoldSlot(Attempt& attempt, TimePoint now);
+  void Start(Attempt& attempt, TimePoint now);
+  void CheckStart(TimePoint now) const;
+  void DropUnstarted(const AttemptId& id, Error reason, TimePoint now);
+  void DropAllUnstarted(const Error& reason, TimePoint now);
+  void TakeOut(const Attempt& attempt);
+  void Finish(Attempt& attempt, const CallReport& report, TimePoint now);
+  void SendResult(Attempt& attempt, TimePoint now);
+  void SendHeartbeats(TimePoint now);
+  void ExpireReadies(TimePoint now);
+  void ExpireQueued(TimePoint now);
+  void ResendResults(TimePoint now);
+  void ForgetOldStarts(TimePoint now);
+  void CloseGateIfNeeded(TimePoint now);
+  void WatchBackend(TimePoint now);
+  void Send(LinkId link, Message message);
+  /// Sends to the entry if it is linked; fills in the load that it is told.
+  template <class Typed>
+  void SendToEntry(Incarnation entry, Typed message, TimePoint now);
+  bool SlotsOnlyForUrgent(TimePoint now) const;
+  int FreeSlots() const;
+  Duration ExpectedWait() const;
+  Error Reason(ErrorCode code, std::string step, std::string message) const;
+  void Note(EventKind kind, TimePoint now, const Attempt* attempt,
+            std::string detail);
+
+  AgentOptions options_;
+  StartGate gate_;
+  BackendMonitor monitor_;
+  OfferQueue queue_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::unordered_map<AttemptId, TimePoint> started_;
+  std::deque<std::pair<TimePoint, AttemptId>> started_order_;
+  // Attempts up to this number may have been started and forgotten since.
+  std::map<Incarnation, std::uint64_t> forgotten_;
+  std::map<LinkId, Peer> peers_;
+  std::map<Incarnation, LinkId> entry_links_;
+  std::map<Incarnation, TimePoint> entry_lost_;
+  std::set<std::string> known_entries_;
+  Resources in_use_;
+  int holding_ = 0;
+  int running_ = 0;
+  QuantileWindow run_times_;
+  TimePoint last_urgent_ = TimePoint::Never();
+  TimePoint next_heartbeat_;
+  bool gate_open_ = false;
+  std::optional<TimePoint> leaving_since_;
+  AgentCounters counters_;
+  EventRing events_;
+  std::vector<AgentAction> actions_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_WORKER_AGENT_NODE_H_
--- /dev/null
+++ b/standins/log_store.h
@@ -0,0 +1,41 @@
+#ifndef GERANIUM_STANDINS_LOG_STORE_H_
+#define GERANIUM_STANDINS_LOG_STORE_H_
+
+#include <deque>
+#include <string>
+
+#include "base/clock.h"
+#include "contract/log.h"
+
+namespace geranium {
+
+/// One stream of the stand-in for the platform's log service, in memory.
+class LogStore {
+ public:
+  explicit LogStore(Duration retention) : retention_(retention) {}
+
+  LogOffset Append(const RecordId& id, const std::string& body, TimePoint now);
+  LogBatch Read(LogOffset from, std::size_t most, TimePoint now) const;
+  /// Drops what is older than the retention.
+  void Expire(TimePoint now);
+
+  LogOffset next() const {
+    return LogOffset(first_.value() +
+                     static_cast<std::int64_t>(records_.size()));
+  }
+
+ private:
+  struct Stored {
+    RecordId id;
+    std::string body;
+    TimePoint appended;
+  };
+
+  Duration retention_;
+  LogOffset first_{1};
+  std::deque<Stored> records_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_STANDINS_LOG_STORE_H_
--- /dev/null
+++ b/tests/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/fair_queue_test.cc
@@ -0,0 +1,49 @@
+#include "entry/fair_queue.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace geranium {
+namespace {
+
+class FairQueueTest {
+ protected:
+  static TaskRef Ref(std::uint64_t job) {
+    return TaskRef{JobId{Incarnation(1), job}, 0};
+  }
+
+  FairQueue queue_;
+  const TeamName north_{"north"};
+  const TeamName south_{"south"};
+};
+
+TEST_CASE_METHOD(FairQueueTest,
+                 "FairQueue two busy teams are served by weight") {
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    queue_.PushBack(north_, 3, Ref(i));
+    queue_.PushBack(south_, 1, Ref(1000 + i));
+  }
+  std::map<bool, int> served;
+  for (int i = 0; i < 40; ++i) ++served[queue_.Pop()->job.number < 1000];
+  CHECK(served[true] == 30);
+  CHECK(served[false] == 10);
+}
+
+TEST_CASE_METHOD(FairQueueTest,
+                 "FairQueue a team alone gets all and keeps its order") {
+  for (std::uint64_t i = 0; i < 5; ++i) queue_.PushBack(north_, 1, Ref(i));
+  for (std::uint64_t i = 0; i < 5; ++i) CHECK(*queue_.Pop() == Ref(i));
+  CHECK_FALSE(queue_.Pop().has_value());
+}
+
+TEST_CASE_METHOD(FairQueueTest, "FairQueue a task put back comes first") {
+  queue_.PushBack(north_, 1, Ref(1));
+  queue_.PushBack(north_, 1, Ref(2));
+  const TaskRef taken = *queue_.Pop();
+  queue_.PushFront(north_, 1, taken);
+  CHECK(*queue_.Pop() == Ref(1));
+  CHECK(queue_.size() == 1);
+}
+
+}  // namespace
+}  // namespace geranium
