Add the operators' command, the load tool and the demo

Cause: a site could be started only by hand, and nothing measured it. Change: geraniumctl (check, publish, show, history, data-centre, status, drain-worker, wait), geranium-load (open loop, answers checked against their requests, response time against the ideal), ./run demo. Found on the first demo: an entry crashed under load, since second offers were appended to a deque while it was walked; it is a list now.

--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -2,7 +2,7 @@
 #define GERANIUM_ENTRY_DISPATCHER_H_
 
 #include <array>
-#include <deque>
+#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -206,7 +206,8 @@
   std::array<std::size_t, kTaskClasses> waiting_by_class_{};
   std::size_t waiting_tasks_ = 0;
   std::map<TeamName, std::size_t> tasks_by_team_;
-  std::deque<std::pair<TimePoint, TaskRef>> offered_;
+  // Offers by age. A list, since one may be added while it is walked.
+  std::list<std::pair<TimePoint, TaskRef>> offered_;
   std::multimap<TimePoint, Timer> timers_;
   std::map<ServiceName, QuantileWindow> run_times_;
   std::map<ServiceName, double> mean_run_ms_;
--- /dev/null
+++ b/src/load/load_report.h
@@ -0,0 +1,64 @@
+#ifndef GERANIUM_LOAD_LOAD_REPORT_H_
+#define GERANIUM_LOAD_LOAD_REPORT_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "load/workload.h"
+
+namespace geranium {
+
+/// What was seen of one kind of work.
+struct KindReport {
+  std::uint64_t sent = 0;
+  std::uint64_t complete = 0;
+  std::uint64_t not_run = 0;
+  std::uint64_t may_have_run = 0;
+  std::uint64_t ran_failed = 0;
+  std::uint64_t no_answer = 0;   ///< The connection ended without one.
+  std::uint64_t mismatched = 0;  ///< An answer to another request.
+  std::map<std::string, std::uint64_t> error_codes;
+  std::vector<double> ratios;        ///< Response time to ideal, if complete.
+  std::vector<double> overheads_ms;  ///< Response time less ideal.
+
+  std::uint64_t answered() const {
+    return complete + not_run + may_have_run + ran_failed;
+  }
+};
+
+/// Counts of the entries over the run, from their metrics.
+struct EntryDeltas {
+  double messages = 0;
+  double wasted = 0;
+  double grants = 0;
+  double cpu_seconds = 0;
+  double hedges = 0;
+  double in_doubt = 0;
+  double violations = 0;
+};
+
+struct LoadReport {
+  std::array<KindReport, kWorkKinds> kinds;
+  EntryDeltas entries;
+  double offered_slots = 0;
+  double work_done_slots = 0;
+  /// Work of complete answers in each second, in slots.
+  std::vector<double> work_by_second;
+
+  /// True if each submission has an answer, its own, and no invariant broke.
+  bool IsAccountedFor() const;
+};
+
+/// The q-quantile of `values`; 0 if there are none.
+double Quantile(std::vector<double> values, double q);
+
+std::string ToTable(const LoadReport& report);
+nlohmann::json ToJson(const LoadReport& report);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_LOAD_LOAD_REPORT_H_
--- /dev/null
+++ b/src/operator/commands.cc
@@ -0,0 +1,332 @@
+#include "operator/commands.h"
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "contract/service_text.h"
+#include "operator/line_diff.h"
+#include "runtime/answers.h"
+
+namespace geranium {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kEditedFrom = "; edited-from = ";
+constexpr Duration kFollowInterval{100};
+
+Result<std::string> ReadText(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) {
+    return Error{ErrorCode::kInvalidText, "read text", path,
+                 path + ": cannot be opened", Execution::kNotRun};
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+// Takes the line that `show` writes off the text; its version, if there is one.
+std::optional<std::int64_t> TakeEditedFrom(std::string& text) {
+  if (!text.starts_with(kEditedFrom)) return std::nullopt;
+  const auto end = text.find('\n');
+  const std::string number =
+      text.substr(kEditedFrom.size(),
+                  end == std::string::npos ? end : end - kEditedFrom.size());
+  text = end == std::string::npos ? "" : text.substr(end + 1);
+  char* stop = nullptr;
+  const std::int64_t version = std::strtoll(number.c_str(), &stop, 10);
+  if (stop == number.c_str()) return std::nullopt;
+  return version;
+}
+
+std::string Summary(const ConfigurationRecord& record) {
+  if (const auto* centre = std::get_if<DataCentreRecord>(&record)) {
+    return "data-centre " + std::string(centre->in ? "in " : "out ") +
+           centre->name.value();
+  }
+  if (const auto* text = std::get_if<TextRecord>(&record)) {
+    return "text edited from " + std::to_string(text->edited_from.value());
+  }
+  return "snapshot";
+}
+
+std::string Seconds(Duration span) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1)
+       << static_cast<double>(span.ms()) / 1000.0 << " s";
+  return text.str();
+}
+
+void PrintService(const std::string& name, const Json& standings) {
+  std::cout << "service " << name << "\n";
+  for (const Json& standing : standings) {
+    std::cout << "  " << std::left << std::setw(16)
+              << standing.at("data_centre").get<std::string>();
+    std::cout << (standing.at("available").get<bool>() ? "available  "
+                                                       : "unavailable");
+    if (!standing.at("in").get<bool>()) std::cout << "  out";
+    for (const char* key :
+         {"answering", "quiet", "failing", "leaving", "quarantined"}) {
+      const int count = standing.at(key).get<int>();
+      if (count > 0) std::cout << "  " << key << " " << count;
+    }
+    for (const Json& missing : standing.at("missing_dependencies")) {
+      std::cout << "  lacks " << missing.get<std::string>();
+    }
+    std::cout << "\n";
+  }
+}
+
+void PrintEntry(const Json& status) {
+  std::cout << "entry " << status.at("entry").get<std::string>() << "  version "
+            << status.at("version")
+            << (status.at("fresh").get<bool>() ? "  confirmed"
+                                               : "  NOT CONFIRMED")
+            << (status.at("leaving").get<bool>() ? "  leaving" : "")
+            << "  open jobs " << status.at("open_jobs") << "  waiting tasks "
+            << status.at("waiting_tasks") << "  workers "
+            << status.at("workers").size() << "\n";
+}
+
+}  // namespace
+
+CtlExit Commands::Fail(const Error& error, CtlExit exit) const {
+  if (options_.json) {
+    std::cout << Json{{"error", ToJson(error)}}.dump() << "\n";
+  } else {
+    std::cerr << "geraniumctl: " << error.step << " at "
+              << (error.peer.empty() ? "geraniumctl" : error.peer) << ": "
+              << error.message << "\n";
+  }
+  return exit;
+}
+
+CtlExit Commands::Check(const std::string& file) const {
+  auto text = ReadText(file);
+  if (!text) return Fail(text.error());
+  const auto parsed = ParseServiceText(text.value());
+  if (!parsed) return Fail(parsed.error());
+  if (options_.json) {
+    std::cout << Json{{"valid", true},
+                      {"services", parsed.value().services.size()}}
+                     .dump()
+              << "\n";
+  } else {
+    std::cout << "valid: " << parsed.value().services.size() << " services, "
+              << parsed.value().teams.size() << " teams, "
+              << parsed.value().data_centres.size() << " data centres\n";
+  }
+  return CtlExit::kOk;
+}
+
+CtlExit Commands::Publish(const std::string& file) const {
+  auto text = ReadText(file);
+  if (!text) return Fail(text.error());
+  const auto noted = TakeEditedFrom(text.value());
+  if (const CtlExit checked = Check(file); checked != CtlExit::kOk) {
+    return checked;
+  }
+  const auto view = site_.ReadConfiguration();
+  if (!view) return Fail(view.error());
+  const ConfigurationState& state = view.value().reader.state();
+  const auto named = options_.edited_from ? options_.edited_from : noted;
+  if (!named && state.text_version != Version(0)) {
+    return Fail(Error{ErrorCode::kMalformed, "publish", file,
+                      "say with --from which version the text was edited "
+                      "from; " +
+                          std::to_string(state.text_version.value()) +
+                          " is in force",
+                      Execution::kNotRun});
+  }
+  const Version edited_from(named.value_or(0));
+  const auto outcome =
+      site_.Change(TextRecord{text.value(), edited_from}, options_.patience);
+  if (outcome.state == ChangeState::kConflict) {
+    ShowConflict(text.value(), edited_from);
+  }
+  return Finish(outcome);
+}
+
+void Commands::ShowConflict(const std::string& text,
+                            Version edited_from) const {
+  const auto view = site_.ReadConfiguration();
+  if (!view || options_.json) return;
+  const ConfigurationState& state = view.value().reader.state();
+  const TextRecord* base = view.value().TextAt(edited_from);
+  std::cerr << "version " << state.text_version.value()
+            << " is in force; what changed since version "
+            << edited_from.value() << ":\n"
+            << LineDiff(base == nullptr ? text : base->text, state.text);
+}
+
+CtlExit Commands::Finish(const ChangeOutcome& outcome) const {
+  if (options_.json) {
+    const char* names[] = {"accepted", "conflict", "invalid", "unknown"};
+    std::cout << Json{{"state", names[static_cast<int>(outcome.state)]},
+                      {"version", outcome.version.value()},
+                      {"message", outcome.message}}
+                     .dump()
+              << "\n";
+  }
+  switch (outcome.state) {
+    case ChangeState::kAccepted:
+      if (!options_.json) {
+        std::cout << "accepted as version " << outcome.version.value() << "\n";
+      }
+      return options_.wait ? Wait(outcome.version) : CtlExit::kOk;
+    case ChangeState::kConflict:
+      std::cerr << "geraniumctl: conflict at version "
+                << outcome.version.value() << ": " << outcome.message << "\n";
+      return CtlExit::kConflict;
+    case ChangeState::kInvalid:
+      std::cerr << "geraniumctl: refused: " << outcome.message << "\n";
+      return CtlExit::kRefused;
+    case ChangeState::kUnknown:
+      std::cerr << "geraniumctl: cannot tell whether the change was made ("
+                << outcome.message
+                << "); look at `geraniumctl history` once the log is back\n";
+      return CtlExit::kUnknown;
+  }
+  return CtlExit::kUnknown;
+}
+
+CtlExit Commands::Show() const {
+  const auto view = site_.ReadConfiguration();
+  if (!view) return Fail(view.error());
+  const ConfigurationState& state = view.value().reader.state();
+  std::ofstream file;
+  if (!options_.output_file.empty()) {
+    file.open(options_.output_file);
+    if (!file) {
+      return Fail(Error{ErrorCode::kInvalidText, "show", options_.output_file,
+                        "cannot be written", Execution::kNotRun});
+    }
+  }
+  std::ostream& output = file.is_open() ? file : std::cout;
+  if (options_.json) {
+    output << Json{{"version", state.version.value()},
+                   {"text_version", state.text_version.value()},
+                   {"text", state.text}}
+                  .dump()
+           << "\n";
+  } else {
+    output << kEditedFrom << state.text_version.value() << "\n" << state.text;
+  }
+  return CtlExit::kOk;
+}
+
+CtlExit Commands::History() const {
+  const auto view = site_.ReadConfiguration();
+  if (!view) return Fail(view.error());
+  for (const auto& decision : view.value().decisions) {
+    const std::string verdict(Name(decision.verdict));
+    const std::string summary = Summary(decision.record);
+    if (options_.json) {
+      std::cout << Json{{"version", decision.offset.value()},
+                        {"record", decision.id.value()},
+                        {"verdict", verdict},
+                        {"summary", summary}}
+                       .dump()
+                << "\n";
+    } else {
+      std::cout << std::setw(8) << decision.offset.value() << "  " << std::left
+                << std::setw(9) << verdict << std::right << "  " << summary
+                << "\n";
+    }
+  }
+  return CtlExit::kOk;
+}
+
+CtlExit Commands::SetDataCentre(const std::string& name, bool in) const {
+  const auto view = site_.ReadConfiguration();
+  if (!view) return Fail(view.error());
+  const ConfigurationState& state = view.value().reader.state();
+  const DataCentreState* known = FindDataCentre(state, DataCentreName(name));
+  if (known == nullptr) {
+    return Fail(Error{ErrorCode::kMalformed, "data-centre", name,
+                      "the text in force has no data centre '" + name + "'",
+                      Execution::kNotRun});
+  }
+  if (known->in == in) {
+    std::cerr << "data centre " << name << " is " << (in ? "in" : "out")
+              << " already, since version " << known->changed.value() << "\n";
+    return options_.wait ? Wait(known->changed) : CtlExit::kOk;
+  }
+  const DataCentreRecord record{DataCentreName(name), in, known->changed};
+  return Finish(site_.Change(record, options_.patience));
+}
+
+CtlExit Commands::Status() const {
+  CtlExit exit = CtlExit::kOk;
+  Json all = Json::object();
+  bool services_shown = false;
+  for (const auto& [address, status] : site_.Statuses()) {
+    if (!status) {
+      all[address] = {{"error", ToJson(status.error())}};
+      if (!options_.json) {
+        std::cout << "entry at " << address
+                  << "  NO ANSWER: " << status.error().message << "\n";
+      }
+      exit = CtlExit::kUnknown;
+      continue;
+    }
+    all[address] = status.value();
+    if (options_.json) continue;
+    PrintEntry(status.value());
+    if (services_shown) continue;
+    services_shown = true;
+    for (const auto& [name, standings] :
+         status.value().at("services").items()) {
+      PrintService(name, standings);
+    }
+  }
+  if (options_.json) std::cout << all.dump() << "\n";
+  return exit;
+}
+
+CtlExit Commands::DrainWorker(const std::string& worker) const {
+  const auto taken = site_.DrainWorker(worker);
+  if (!taken) return Fail(taken.error());
+  std::cout << "worker " << worker << " leaves; told by " << taken.value()
+            << " entries\n";
+  return CtlExit::kOk;
+}
+
+void Commands::PrintProgress(const Progress& progress, Duration since) const {
+  std::cerr << "in force on " << progress.entries_in_force << "/"
+            << progress.entries << " entries, " << progress.workers_in_force
+            << "/" << progress.workers << " agents, " << Seconds(since) << "\n";
+}
+
+CtlExit Commands::Wait(Version version) const {
+  const TimePoint begin = SystemClock().Now();
+  std::size_t shown = 0;
+  while (true) {
+    const Progress progress = site_.ProgressOf(version);
+    const Duration since = SystemClock().Now() - begin;
+    const std::size_t reached =
+        progress.entries_in_force + progress.workers_in_force + 1;
+    if (reached != shown) PrintProgress(progress, since);
+    shown = reached;
+    if (progress.IsDone()) return CtlExit::kOk;
+    if (since > options_.patience) {
+      std::cerr << "geraniumctl: not in force everywhere; missing:";
+      for (const std::string& name : progress.missing) {
+        std::cerr << " " << name;
+      }
+      std::cerr << "\n";
+      return CtlExit::kNotInForce;
+    }
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(kFollowInterval.ms()));
+  }
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/operator/commands.h
@@ -0,0 +1,58 @@
+#ifndef GERANIUM_OPERATOR_COMMANDS_H_
+#define GERANIUM_OPERATOR_COMMANDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "operator/site.h"
+
+namespace geranium {
+
+/// Exit statuses of `geraniumctl`.
+enum class CtlExit {
+  kOk = 0,
+  kRefused = 1,    ///< Not valid, or an error that changed nothing.
+  kConflict = 2,   ///< Something newer is in force.
+  kUnknown = 3,    ///< It cannot be told whether the change was made.
+  kNotInForce = 4  ///< Accepted, but not in force everywhere in time.
+};
+
+struct CtlOptions {
+  bool json = false;
+  bool wait = true;
+  Duration patience{10'000};
+  std::optional<std::int64_t> edited_from;
+  std::string output_file;
+};
+
+/// What `geraniumctl` does: one function for each of its commands. They print
+/// to standard output, and progress to standard error.
+class Commands {
+ public:
+  Commands(const Site& site, CtlOptions options)
+      : site_(site), options_(std::move(options)) {}
+
+  CtlExit Check(const std::string& file) const;
+  CtlExit Publish(const std::string& file) const;
+  CtlExit Show() const;
+  CtlExit History() const;
+  CtlExit SetDataCentre(const std::string& name, bool in) const;
+  CtlExit Status() const;
+  CtlExit DrainWorker(const std::string& worker) const;
+  CtlExit Wait(Version version) const;
+
+ private:
+  CtlExit Fail(const Error& error, CtlExit exit = CtlExit::kRefused) const;
+  CtlExit Finish(const ChangeOutcome& outcome) const;
+  void ShowConflict(const std::string& text, Version edited_from) const;
+  void PrintProgress(const Progress& progress, Duration since) const;
+
+  const Site& site_;
+  CtlOptions options_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_OPERATOR_COMMANDS_H_
--- /dev/null
+++ b/src/operator/line_diff.h
@@ -0,0 +1,13 @@
+#ifndef GERANIUM_OPERATOR_LINE_DIFF_H_
+#define GERANIUM_OPERATOR_LINE_DIFF_H_
+
+#include <string>
+
+namespace geranium {
+
+/// The lines that differ: "-" those of `before` only, "+" those of `after`.
+std::string LineDiff(const std::string& before, const std::string& after);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_OPERATOR_LINE_DIFF_H_
--- /dev/null
+++ b/src/operator/site.cc
@@ -0,0 +1,200 @@
+#include "operator/site.h"
+
+#include <chrono>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "runtime/http_client.h"
+#include "runtime/log_client.h"
+#include "settings/process_settings.h"
+
+namespace geranium {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kStatusTimeout{2000};
+constexpr Duration kReadAgain{100};
+
+void Sleep(Duration span) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(span.ms()));
+}
+
+HttpCall EntryCall(const std::string& address, const std::string& method,
+                   const std::string& target, std::string body = "") {
+  HttpCall call;
+  call.address = address;
+  call.method = method;
+  call.target = target;
+  call.body = std::move(body);
+  call.timeout = kStatusTimeout;
+  return call;
+}
+
+ChangeOutcome ToOutcome(const ConfigurationReader::Decision& decision) {
+  ChangeOutcome outcome;
+  outcome.version = Version(decision.offset.value());
+  switch (decision.verdict) {
+    case Verdict::kAccepted:
+    case Verdict::kSnapshot:
+      outcome.state = ChangeState::kAccepted;
+      break;
+    case Verdict::kConflict:
+      outcome.state = ChangeState::kConflict;
+      outcome.message = "something newer is in force";
+      break;
+    case Verdict::kInvalid:
+      outcome.state = ChangeState::kInvalid;
+      outcome.message = "the record is not valid";
+      break;
+  }
+  return outcome;
+}
+
+}  // namespace
+
+const ConfigurationReader::Decision* LogView::Find(const RecordId& id) const {
+  for (const auto& decision : decisions) {
+    if (decision.id == id) return &decision;
+  }
+  return nullptr;
+}
+
+const TextRecord* LogView::TextAt(Version version) const {
+  for (const auto& decision : decisions) {
+    if (decision.offset.value() != version.value()) continue;
+    return std::get_if<TextRecord>(&decision.record);
+  }
+  return nullptr;
+}
+
+Result<LogView> Site::ReadConfiguration() const {
+  LogView view;
+  while (true) {
+    BOOST_OUTCOME_TRY(batch, ReadLog(log_address_, LogStream::kConfiguration,
+                                     view.reader.position()));
+    for (auto& decision : view.reader.Read(batch, SystemClock().Now())) {
+      view.decisions.push_back(std::move(decision));
+    }
+    if (view.reader.position() < batch.next) continue;
+    if (view.reader.has_base()) return view;
+    return Error{ErrorCode::kUnavailable, "read configuration", "log",
+                 "the oldest records were dropped and no snapshot covers them",
+                 Execution::kNotRun};
+  }
+}
+
+// The append is not repeated: its answer may have been lost after it was
+// applied, and only the log itself can tell.
+ChangeOutcome Site::Change(const ConfigurationRecord& record,
+                           Duration patience) const {
+  const RecordId id("ctl-" + ToString(Incarnation(DrawIncarnation())));
+  const std::string body = EncodeRecord(record);
+  const auto appended =
+      AppendToLog(log_address_, LogStream::kConfiguration, id, body);
+  const TimePoint until = SystemClock().Now() + patience;
+  ChangeOutcome outcome;
+  while (true) {
+    const auto view = ReadConfiguration();
+    const auto* decision = view ? view.value().Find(id) : nullptr;
+    if (decision != nullptr) {
+      HandOver(LogRecord{decision->offset, id, Duration(0), body});
+      return ToOutcome(*decision);
+    }
+    outcome.message = !appended ? appended.error().message
+                      : !view   ? view.error().message
+                                : "the record was not found";
+    if (SystemClock().Now() >= until) return outcome;
+    Sleep(kReadAgain);
+  }
+}
+
+void Site::HandOver(const LogRecord& record) const {
+  const Json json{{"offset", record.offset.value()},
+                  {"id", record.id.value()},
+                  {"age_ms", record.age.ms()},
+                  {"body", record.body}};
+  for (const std::string& address : entry_addresses_) {
+    // An entry that cannot be reached reads the record from the log.
+    (void)Fetch(
+        EntryCall(address, "POST", "/v1/operator/records", json.dump()));
+  }
+}
+
+std::map<std::string, Result<Json>> Site::Statuses() const {
+  std::map<std::string, Result<Json>> statuses;
+  for (const std::string& address : entry_addresses_) {
+    const HttpOutcome outcome =
+        Fetch(EntryCall(address, "GET", "/v1/operator/status"));
+    const auto response = ToResult(outcome, "status", address);
+    if (!response) {
+      statuses.emplace(address, response.error());
+      continue;
+    }
+    Json json = Json::parse(response.value().body, nullptr, false);
+    if (json.is_object()) {
+      statuses.emplace(address, std::move(json));
+    } else {
+      statuses.emplace(address, Error{ErrorCode::kMalformed, "status", address,
+                                      "not a status", Execution::kNotRun});
+    }
+  }
+  return statuses;
+}
+
+Progress Site::ProgressOf(Version version) const {
+  Progress progress;
+  std::map<std::string, bool> workers;
+  for (const auto& [address, status] : Statuses()) {
+    ++progress.entries;
+    if (!status) {
+      progress.missing.push_back(address + " (no answer)");
+      continue;
+    }
+    const Json& json = status.value();
+    if (json.at("version").get<std::int64_t>() >= version.value()) {
+      ++progress.entries_in_force;
+    } else {
+      progress.missing.push_back(json.at("entry").get<std::string>());
+    }
+    for (const Json& worker : json.at("workers")) {
+      if (!worker.at("linked").get<bool>()) continue;
+      const bool in_force =
+          worker.at("version").get<std::int64_t>() >= version.value();
+      bool& known = workers[worker.at("worker").get<std::string>()];
+      known = known || in_force;
+    }
+  }
+  progress.workers = workers.size();
+  for (const auto& [name, in_force] : workers) {
+    if (in_force) {
+      ++progress.workers_in_force;
+    } else {
+      progress.missing.push_back(name);
+    }
+  }
+  return progress;
+}
+
+Result<int> Site::DrainWorker(const std::string& worker) const {
+  int taken = 0;
+  Error last{ErrorCode::kUnavailable, "drain worker", worker,
+             "no entry is known", Execution::kNotRun};
+  for (const std::string& address : entry_addresses_) {
+    const HttpOutcome outcome = Fetch(EntryCall(
+        address, "POST", "/v1/operator/workers/" + worker + "/drain"));
+    const auto response = ToResult(outcome, "drain worker", address);
+    if (!response) {
+      last = response.error();
+    } else if (response.value().status == 200) {
+      ++taken;
+    } else {
+      last.message = "no entry has a link to the worker";
+    }
+  }
+  if (taken == 0) return last;
+  return taken;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/programs/geraniumctl.cc
@@ -0,0 +1,137 @@
+// A setting's value may hold commas, at which cxxopts would split it.
+#define CXXOPTS_VECTOR_DELIMITER '\x1f'
+#include <cxxopts.hpp>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "operator/commands.h"
+#include "operator/site.h"
+#include "settings/command_line.h"
+#include "settings/ini.h"
+
+namespace {
+
+using geranium::Commands;
+using geranium::CtlExit;
+
+constexpr char kUsage[] =
+    "COMMAND\n"
+    "  check FILE             check a text without publishing it\n"
+    "  publish FILE           publish a text and follow it until in force\n"
+    "  show                   print the text in force\n"
+    "  history                list the changes on the log and their verdicts\n"
+    "  data-centre out NAME   let no task start in a data centre\n"
+    "  data-centre in NAME    bring a data centre back\n"
+    "  status                 entries, services and data centres\n"
+    "  drain-worker ID        have a worker finish its work and take no more\n"
+    "  wait VERSION           follow a version until in force everywhere\n"
+    "Exit status: 0 done, 1 refused, 2 conflict, 3 cannot tell, 4 not in "
+    "force\n"
+    "in time, 64 usage, 78 settings.";
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("geraniumctl", "Operates a geraniumdyke site.");
+  options.custom_help("[OPTIONS]");
+  options.positional_help(kUsage);
+  options.add_options()("h,help", "print this page")("version",
+                                                     "print the version")(
+      "settings", "the settings file (INI)",
+      cxxopts::value<std::string>()->default_value(""),
+      "FILE")("check-settings", "check the settings and exit")(
+      "set", "override a setting, as section.key=value",
+      cxxopts::value<std::vector<std::string>>(),
+      "SETTING")("json", "print JSON")("no-wait", "do not follow the change")(
+      "timeout-ms", "how long to follow or to look for a lost answer",
+      cxxopts::value<std::int64_t>()->default_value("10000"),
+      "N")("from", "the version that the text was edited from",
+           cxxopts::value<std::int64_t>(),
+           "VERSION")("out", "where show writes to",
+                      cxxopts::value<std::string>()->default_value(""), "FILE")(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"words"});
+  return options;
+}
+
+using Words = std::vector<std::string>;
+
+std::optional<CtlExit> Execute(const Commands& commands, const Words& words) {
+  const std::size_t count = words.size();
+  const std::string& command = words.front();
+  if (command == "check" && count == 2) return commands.Check(words[1]);
+  if (command == "publish" && count == 2) return commands.Publish(words[1]);
+  if (command == "show" && count == 1) return commands.Show();
+  if (command == "history" && count == 1) return commands.History();
+  if (command == "status" && count == 1) return commands.Status();
+  if (command == "drain-worker" && count == 2) {
+    return commands.DrainWorker(words[1]);
+  }
+  if (command == "data-centre" && count == 3 &&
+      (words[1] == "out" || words[1] == "in")) {
+    return commands.SetDataCentre(words[2], words[1] == "in");
+  }
+  if (command == "wait" && count == 2) {
+    char* stop = nullptr;
+    const std::int64_t version = std::strtoll(words[1].c_str(), &stop, 10);
+    if (*stop != '\0' || version < 1) return std::nullopt;
+    return commands.Wait(geranium::Version(version));
+  }
+  return std::nullopt;
+}
+
+int Usage(const std::string& problem) {
+  std::cerr << "geraniumctl: " << problem << "; see --help\n";
+  return geranium::kExitUsage;
+}
+
+int Run(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help() << "\n";
+    return 0;
+  }
+  if (parsed.count("version") > 0) {
+    std::cout << "geraniumctl " << GERANIUM_VERSION << "\n";
+    return 0;
+  }
+  geranium::CommandLine command_line;
+  command_line.settings_file = parsed["settings"].as<std::string>();
+  if (parsed.count("set") > 0) {
+    command_line.overrides = parsed["set"].as<Words>();
+  }
+  const auto file = geranium::LoadSettings(command_line);
+  if (!file) return geranium::FailSettings("geraniumctl", file.error());
+  geranium::IniSection section = file.value().Section("operator");
+  const std::string log = section.Text("log", "127.0.0.1:7000");
+  const std::vector<std::string> entries = section.List("entries");
+  const auto finished = section.Finish();
+  if (!finished) return geranium::FailSettings("geraniumctl", finished.error());
+  if (parsed.count("check-settings") > 0) return 0;
+  if (parsed.count("words") == 0) return Usage("a command is missing");
+  geranium::CtlOptions ctl;
+  ctl.json = parsed.count("json") > 0;
+  ctl.wait = parsed.count("no-wait") == 0;
+  ctl.patience = geranium::Duration(parsed["timeout-ms"].as<std::int64_t>());
+  ctl.output_file = parsed["out"].as<std::string>();
+  if (parsed.count("from") > 0) {
+    ctl.edited_from = parsed["from"].as<std::int64_t>();
+  }
+  const geranium::Site site(log, entries);
+  const auto words = parsed["words"].as<Words>();
+  const auto exit = Execute(Commands(site, ctl), words);
+  if (!exit) return Usage("'" + words.front() + "' is not used like that");
+  return static_cast<int>(*exit);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    return Usage(error.what());
+  }
+}
--- a/src/settings/command_line.cc
+++ b/src/settings/command_line.cc
@@ -1,5 +1,7 @@
 #include "settings/command_line.h"
 
+// A setting's value may hold commas, at which cxxopts would split it.
+#define CXXOPTS_VECTOR_DELIMITER '\x1f'
 #include <cxxopts.hpp>
 #include <iostream>
 #include <utility>
