Prove the promises by randomised runs over the decision objects

Cause: nothing tried the promises under failures. Change: geranium-soak drives the real entry and agent objects over a fake log, fake links and fake backend servers; processes' clocks differ, messages are lost, doubled and late, processes are killed, frozen, cut off and replaced. A judge that sees every start and every answer holds them to the promises.

--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -68,7 +68,7 @@
   // Submissions.
 
   /// Admits a submission. A refusal means that nothing has run. Unless
-  /// `claimed`, grants wait for `ClaimDecided`.
+  /// `claimed`, nothing is offered before `ClaimDecided`.
   Result<JobId> Submit(Submission submission, bool claimed, TimePoint now);
   /// The job's key is its own, or `refusal` says why it must not run.
   void ClaimDecided(const JobId& job, const std::optional<Error>& refusal,
@@ -138,6 +138,7 @@
 
   // Queues and offers (dispatcher_offers.cc).
   void Enqueue(const Job& job, std::uint32_t task, bool at_front);
+  void EnqueueAll(const Job& job);
   void Pump(TimePoint now);
   void PumpWorker(WorkerView& worker, TimePoint now);
   std::optional<QueueKey> NextQueue(const std::set<QueueKey>& blocked);
--- a/src/entry/dispatcher_admission.cc
+++ b/src/entry/dispatcher_admission.cc
@@ -50,9 +50,9 @@
   AddTimer(admitted.deadline, TimerKind::kDeadline, TaskRef{id, 0});
   Note(EventKind::kSubmitted, now, TaskRef{id, 0}, nullptr, "",
        admitted.service.name.value());
-  for (std::uint32_t i = 0; i < admitted.tasks.size(); ++i) {
-    Enqueue(admitted, i, false);
-  }
+  // Without its key a job may not start, and offers for it would only hold
+  // slots.
+  if (claimed) EnqueueAll(admitted);
   Pump(now);
   return id;
 }
@@ -169,11 +169,12 @@
     return;
   }
   job->claimed = true;
-  for (Task& task : job->tasks) {
-    if (!task.held) continue;
-    const AttemptId held = *std::exchange(task.held, std::nullopt);
-    if (attempts_.contains(held)) GrantReady(held, now);
-  }
+  EnqueueAll(*job);
+  Pump(now);
+}
+
+void Dispatcher::EnqueueAll(const Job& job) {
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) Enqueue(job, i, false);
 }
 
 void Dispatcher::CancelJob(const JobId& id, const Error& reason,
--- a/src/entry/dispatcher_attempts.cc
+++ b/src/entry/dispatcher_attempts.cc
@@ -178,10 +178,6 @@
   const TaskRef ref = attempts_.at(id).task;
   Job& job = jobs_.at(ref.job);
   Task& task = job.tasks[ref.task];
-  if (!job.claimed) {
-    if (!task.held) task.held = id;
-    return;
-  }
   const bool is_free = task.state == TaskState::kOffered;
   if (!is_free || !MayGrant(job, attempts_.at(id))) {
     TakeBack(id);
@@ -267,7 +263,6 @@
   }
   Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
   std::erase(task.attempts, id);
-  if (task.held == id) task.held.reset();
   if (attempt.granted) --task.grants_unanswered;
   return attempt;
 }
@@ -386,7 +381,10 @@
 }
 
 void Dispatcher::DropTask(Job& job, Task& task, Error reason) {
-  if (task.MayHaveRun()) reason.execution = Execution::kMayHaveRun;
+  // While the key is not this job's, another job may have run with it.
+  if (task.MayHaveRun() || !job.claimed) {
+    reason.execution = Execution::kMayHaveRun;
+  }
   const bool not_run = reason.execution == Execution::kNotRun;
   CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
                  "dropped task of " + ToString(job.id));
--- a/src/entry/dispatcher_offers.cc
+++ b/src/entry/dispatcher_offers.cc
@@ -230,7 +230,7 @@
                              TimePoint now) {
   Job& job = jobs_.at(ref.job);
   const Task& task = job.tasks[ref.task];
-  if (task.held || task.attempts.size() >= kMostAttempts) return true;
+  if (task.attempts.size() >= kMostAttempts) return true;
   const auto& services = worker.profile.services;
   if (std::ranges::count(services, job.service.name) == 0) return false;
   if (!task.attempts.empty()) {
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -54,6 +54,7 @@
 // Every input is handled between these two, so that no decision is made on
 // older knowledge of the configuration than `now` allows.
 void EntryNode::BeginStep(TimePoint now) {
+  step_began_ = now;
   const bool fresh = freshness_.IsFresh(now);
   dispatcher_.SetFresh(fresh);
   if (fresh == was_fresh_) return;
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -103,7 +103,9 @@
   /// Begins to leave: nothing is admitted; what was admitted is finished.
   void Leave(TimePoint now);
   bool leaving() const { return leaving_; }
-  bool IsIdle() const { return dispatcher_.open_jobs() == 0; }
+  bool IsIdle() const {
+    return dispatcher_.open_jobs() == 0 && queries_.empty();
+  }
   /// True if a submission would be looked at now.
   bool IsReady(TimePoint now) const { return !leaving_ && IsFresh(now); }
 
@@ -189,6 +191,8 @@
   void FailQueriesTo(LinkId link, TimePoint now);
   void GiveAnswer(const JobAnswer& answer, TimePoint now);
   void Refuse(const std::vector<CallerHandle>& callers, const Error& error);
+  void RefuseKeyed(CallerHandle caller, const IdempotencyKey& key,
+                   std::uint64_t fingerprint, Error error, TimePoint now);
   Error MakeError(ErrorCode code, std::string step, std::string peer,
                   std::string message, Execution execution) const;
 
@@ -216,6 +220,7 @@
   TimePoint next_snapshot_;
   bool leaving_ = false;
   bool was_fresh_ = false;
+  TimePoint step_began_;
   std::vector<EntryAction> actions_;
 };
 
--- a/src/entry/entry_submissions.cc
+++ b/src/entry/entry_submissions.cc
@@ -49,6 +49,7 @@
 void EntryNode::Refuse(const std::vector<CallerHandle>& callers,
                        const Error& error) {
   for (const CallerHandle& caller : callers) {
+    Note(EventKind::kRefused, step_began_, error.peer, error.message);
     actions_.push_back(ReplyCaller{caller, error});
   }
 }
@@ -59,9 +60,15 @@
                              TimePoint now) {
   BeginStep(now);
   if (leaving_) {
-    Refuse({caller},
-           MakeError(ErrorCode::kUnavailable, "admit", options_.id.value(),
-                     "the entry is leaving", Execution::kNotRun));
+    const Error leaving =
+        MakeError(ErrorCode::kUnavailable, "admit", options_.id.value(),
+                  "the entry is leaving", Execution::kNotRun);
+    if (submission.key) {
+      RefuseKeyed(caller, *submission.key, submission.fingerprint, leaving,
+                  now);
+    } else {
+      Refuse({caller}, leaving);
+    }
   } else if (!submission.key) {
     SubmitKeyless(caller, std::move(submission), now);
   } else if (const auto minter = MinterOf(*submission.key)) {
@@ -72,6 +79,21 @@
   EndStep(now);
 }
 
+// "Not run" has to be true of all that was submitted with the key, and stay
+// true: an earlier submission elsewhere may still be about to claim it. So a
+// refusal never says it of a key; the caller tries again with the same one.
+void EntryNode::RefuseKeyed(CallerHandle caller, const IdempotencyKey& key,
+                            std::uint64_t fingerprint, Error error,
+                            TimePoint now) {
+  if (const JobId* local = LocalJob(key)) {
+    JoinHolder({caller}, fingerprint, KeyClaim{key, *local, fingerprint}, now);
+    return;
+  }
+  error.execution = Execution::kMayHaveRun;
+  error.message += "; an earlier request with the key may have run";
+  Refuse({caller}, error);
+}
+
 void EntryNode::SubmitKeyless(CallerHandle caller, Submission submission,
                               TimePoint now) {
   auto job = dispatcher_.Submit(std::move(submission), true, now);
@@ -107,7 +129,7 @@
   const std::uint64_t fingerprint = submission.fingerprint;
   auto job = dispatcher_.Submit(std::move(submission), claimed, now);
   if (!job) {
-    Refuse({caller}, job.error());
+    RefuseKeyed(caller, key, fingerprint, job.error(), now);
     return;
   }
   local_jobs_[key] = job.value();
@@ -130,9 +152,11 @@
     return;
   }
   if (!keys_.IsReady(now)) {
-    Refuse({caller}, MakeError(ErrorCode::kLogOutage, "claim", "log",
-                               "keys cannot be claimed while the log is out",
-                               Execution::kNotRun));
+    RefuseKeyed(caller, key, fingerprint,
+                MakeError(ErrorCode::kLogOutage, "claim", "log",
+                          "keys cannot be claimed while the log is out",
+                          Execution::kNotRun),
+                now);
     return;
   }
   StartKeyed(caller, std::move(submission), false, now);
@@ -221,7 +245,7 @@
   const std::uint64_t fingerprint = submission.fingerprint;
   auto job = dispatcher_.Submit(std::move(submission), false, now);
   if (!job) {
-    Refuse({caller}, job.error());
+    RefuseKeyed(caller, key, fingerprint, job.error(), now);
     return;
   }
   local_jobs_[key] = job.value();
@@ -365,11 +389,11 @@
 void EntryNode::SettleClaim(const KeyTable::Decision& decision, TimePoint now) {
   const JobId job = decision.job;
   if (!decision.decided) {
-    dispatcher_.ClaimDecided(
-        job,
-        MakeError(ErrorCode::kLogOutage, "claim", "log",
-                  "the key could not be claimed in time", Execution::kNotRun),
-        now);
+    dispatcher_.ClaimDecided(job,
+                             MakeError(ErrorCode::kLogOutage, "claim", "log",
+                                       "the key could not be claimed in time",
+                                       Execution::kMayHaveRun),
+                             now);
     return;
   }
   if (decision.holder.job == job) {
--- /dev/null
+++ b/tests/soak/judge.h
@@ -0,0 +1,86 @@
+#ifndef GERANIUM_TESTS_SOAK_JUDGE_H_
+#define GERANIUM_TESTS_SOAK_JUDGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/invariant.h"
+#include "contract/task.h"
+
+namespace geranium::soak {
+
+/// A broken promise, with the invariant's name and what was seen.
+class Violation : public std::runtime_error {
+ public:
+  Violation(Invariant invariant, const std::string& detail)
+      : std::runtime_error(std::string(Name(invariant)) + ": " + detail) {}
+};
+
+/// One thing that a caller wants, over all its submissions.
+struct Wish {
+  std::uint64_t number = 0;
+  SubmissionKind kind = SubmissionKind::kJob;
+  bool idempotent = false;
+  std::optional<IdempotencyKey> key;
+  std::size_t tasks = 1;
+  int outstanding = 0;  ///< Submissions that are not answered yet.
+  bool not_run = false;  ///< Said so, and nothing outstanding since.
+  std::vector<int> starts;
+
+  std::string TaskId(std::size_t task) const {
+    return std::to_string(number) + "/" + std::to_string(task);
+  }
+};
+
+/// Sees every start at every backend server and every answer to every caller,
+/// and knows the true time; holds them against the promises.
+class Judge {
+ public:
+  /// A data centre that was taken out starts nothing after this.
+  static constexpr Duration kOutLimit{3000};
+  static constexpr Duration kLeavingLimit{3000};
+
+  Wish& AddWish(Wish wish);
+  Wish& Find(std::uint64_t number) { return wishes_.at(number); }
+
+  void OnSubmitted(std::uint64_t wish);
+  /// The submission's entry died, so no answer will come.
+  void OnAbandoned(std::uint64_t wish);
+  void OnAnswer(std::uint64_t wish, const JobAnswer& answer);
+  void OnRefusal(std::uint64_t wish, const Error& error);
+  void OnStart(const std::string& task_id, const DataCentreName& data_centre,
+               std::optional<TimePoint> leaving_since, TimePoint now);
+
+  void OnDataCentre(const DataCentreName& name, bool in, TimePoint now);
+
+  std::uint64_t starts() const { return starts_; }
+  std::uint64_t complete() const { return complete_; }
+  std::uint64_t failed() const { return failed_; }
+  std::uint64_t refused() const { return refused_; }
+  std::size_t outstanding() const;
+
+ private:
+  void Require(Invariant invariant, bool holds, const std::string& detail);
+  void EndOne(Wish& wish);
+  void CheckOutcome(const Wish& wish, std::size_t task,
+                    const TaskOutcome& outcome);
+
+  std::map<std::uint64_t, Wish> wishes_;
+  std::map<DataCentreName, TimePoint> out_since_;
+  std::uint64_t starts_ = 0;
+  std::uint64_t complete_ = 0;
+  std::uint64_t failed_ = 0;
+  std::uint64_t refused_ = 0;
+};
+
+}  // namespace geranium::soak
+
+#endif  // GERANIUM_TESTS_SOAK_JUDGE_H_
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,96 @@
+// The randomised proof for as long as asked: seed after seed, each a run of its
+// own that the same seed repeats.
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "base/invariant.h"
+#include "soak/soak.h"
+
+namespace {
+
+using geranium::Invariant;
+using geranium::InvariantMonitor;
+using geranium::soak::SoakReport;
+
+struct Totals {
+  std::uint64_t runs = 0;
+  SoakReport sum;
+
+  void Add(const SoakReport& report) {
+    ++runs;
+    for (const auto& [fault, count] : report.faults) {
+      sum.faults[fault] += count;
+    }
+    sum.starts += report.starts;
+    sum.complete += report.complete;
+    sum.failed += report.failed;
+    sum.refused += report.refused;
+  }
+};
+
+bool PrintTotals(const Totals& totals) {
+  std::cout << totals.runs << " runs: " << totals.sum.starts << " starts, "
+            << totals.sum.complete << " complete, " << totals.sum.failed
+            << " failed, " << totals.sum.refused << " refused\n";
+  const InvariantMonitor& monitor = InvariantMonitor::Global();
+  for (std::size_t i = 0; i < InvariantMonitor::kKinds; ++i) {
+    const auto invariant = static_cast<Invariant>(i);
+    std::cout << "checked " << Name(invariant) << ": "
+              << monitor.checks(invariant) << "\n";
+  }
+  bool all_struck = true;
+  for (const std::string& fault : geranium::soak::PlannedFaults()) {
+    const auto found = totals.sum.faults.find(fault);
+    const std::uint64_t count =
+        found == totals.sum.faults.end() ? 0 : found->second;
+    std::cout << "injected " << fault << ": " << count << "\n";
+    all_struck = all_struck && count > 0;
+  }
+  if (!all_struck) std::cout << "a planned fault never struck\n";
+  return all_struck;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("geranium-soak", "The randomised proof.");
+  options.add_options()("h,help", "print this page")(
+      "seed", "the first seed",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "how long to go on with further seeds",
+      cxxopts::value<std::int64_t>()->default_value("30"))(
+      "runs", "stop after so many runs; 0 for no limit",
+      cxxopts::value<std::uint64_t>()->default_value("0"));
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return 0;
+    }
+    const geranium::TimePoint until =
+        geranium::SystemClock().Now() +
+        geranium::Duration(parsed["seconds"].as<std::int64_t>() * 1000);
+    const auto most = parsed["runs"].as<std::uint64_t>();
+    Totals totals;
+    std::uint64_t seed = parsed["seed"].as<std::uint64_t>();
+    while (totals.runs == 0 || geranium::SystemClock().Now() < until) {
+      const SoakReport report =
+          geranium::soak::RunSoak(geranium::soak::OptionsFor(seed));
+      totals.Add(report);
+      if (report.violation) {
+        std::cout << report.time_line << "violation with seed " << seed << ": "
+                  << *report.violation << "\n";
+        return 1;
+      }
+      ++seed;
+      if (most > 0 && totals.runs >= most) break;
+    }
+    std::cout << "seeds " << parsed["seed"].as<std::uint64_t>() << " to "
+              << seed - 1 << ", no violation\n";
+    return PrintTotals(totals) ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "geranium-soak: " << error.what() << "; see --help\n";
+    return 64;
+  }
+}
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,198 @@
+#ifndef GERANIUM_TESTS_SOAK_WORLD_H_
+#define GERANIUM_TESTS_SOAK_WORLD_H_
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "entry/entry_node.h"
+#include "log_store.h"
+#include "soak/judge.h"
+#include "worker/agent_node.h"
+
+namespace geranium::soak {
+
+/// What can be wrong with a backend server.
+enum class BackendFault { kNone, kFrozen, kFails, kRefuses, kStraggles };
+
+/// What can be wrong with the log service.
+enum class LogFault { kNone, kOutage, kSlow, kLosesAnswers };
+
+/// Chances of each fault of a message, in one frame's way.
+struct MessageFaults {
+  double lost = 0;
+  double doubled = 0;
+  double late = 0;
+};
+
+/// A running process; its index is its address. A restarted one is a new node
+/// at the same index.
+struct Process {
+  bool alive = false;
+  bool frozen = false;
+  std::uint64_t generation = 0;
+  Duration clock_offset;
+  std::unique_ptr<EntryNode> entry;
+  std::unique_ptr<AgentNode> agent;
+  std::deque<std::function<void()>> inbox;  ///< While frozen.
+  std::map<std::size_t, LinkId> links;      ///< By the peer's index.
+  std::map<LinkId, std::size_t> peers;
+  BackendFault backend = BackendFault::kNone;
+  DataCentreName data_centre;
+  std::optional<TimePoint> leaving_since;  ///< True time.
+  bool cut_from_log = false;
+  Version newest_version;
+};
+
+struct WorldOptions {
+  std::uint64_t seed = 1;
+  std::size_t entries = 2;
+  std::size_t agents = 6;
+  int slots = 3;
+  LogOutageRule rule = LogOutageRule::kMajority;
+  PolicyChoice policy;
+  Duration log_retention{20'000};
+};
+
+/// Entries, agents, backend servers, the log and callers on one true clock,
+/// driving the real decision objects. Processes' own clocks differ from it and
+/// from each other.
+class World {
+ public:
+  explicit World(WorldOptions options);
+
+  // Time.
+  TimePoint now() const { return now_; }
+  void At(Duration after, std::function<void()> step);
+  void RunUntil(TimePoint end);
+
+  // Processes.
+  std::size_t size() const { return processes_.size(); }
+  bool IsEntry(std::size_t index) const { return index < options_.entries; }
+  Process& process(std::size_t index) { return *processes_[index]; }
+  void Kill(std::size_t index);
+  void Start(std::size_t index);
+  void Freeze(std::size_t index);
+  void Thaw(std::size_t index);
+  void Leave(std::size_t index);
+  void Cut(std::size_t a, std::size_t b);
+  void Heal(std::size_t a, std::size_t b);
+  void SetBackend(std::size_t agent, BackendFault fault);
+  /// Runs `step` at the process, now or once it is thawed.
+  void Deliver(std::size_t index,
+               std::function<void(Process&, TimePoint)> step);
+
+  // The log and operators.
+  void SetLog(LogFault fault) { log_fault_ = fault; }
+  LogFault log_fault() const { return log_fault_; }
+  /// Appends as an operator does; hands the record to the entries if asked to.
+  void AppendConfiguration(const ConfigurationRecord& record, bool hand_over);
+  const ConfigurationState& truth() const { return truth_.state(); }
+  /// True if no running process is behind the truth.
+  bool AllInForce() const;
+
+  // Callers.
+  void Submit(std::uint64_t wish, std::size_t entry);
+  void CancelAll();
+  /// True if a caller waits at the entry.
+  bool HasCallersAt(std::size_t entry) const;
+
+  MessageFaults& message_faults() { return message_faults_; }
+  Judge& judge() { return judge_; }
+  Random& random() { return random_; }
+  const WorldOptions& options() const { return options_; }
+  void Count(const std::string& fault) { ++fault_counts_[fault]; }
+  const std::map<std::string, std::uint64_t>& fault_counts() const {
+    return fault_counts_;
+  }
+  /// The newest events of all processes in the order of true time.
+  std::string TimeLine(std::size_t most) const;
+
+ private:
+  struct Timed {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> step;
+    bool operator>(const Timed& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+  struct Call {
+    std::size_t agent = 0;
+    std::uint64_t generation = 0;
+    StartCall action;
+    bool ended = false;
+  };
+  struct Waiting {
+    std::uint64_t wish = 0;
+    std::size_t entry = 0;
+    std::uint64_t generation = 0;
+  };
+
+  TimePoint Local(const Process& process) const {
+    return now_ + process.clock_offset;
+  }
+  EntryOptions EntryOptionsFor(std::size_t index);
+  AgentOptions AgentOptionsFor(std::size_t index);
+  void Tick(std::size_t index, std::uint64_t generation);
+  void Connect();
+  void Link(std::size_t a, std::size_t b);
+  void Unlink(std::size_t a, std::size_t b);
+  void LinkUp(std::size_t index, std::size_t peer);
+  void LinkDown(std::size_t index, std::size_t peer);
+  void Drain(std::size_t index);
+  void Carry(std::size_t index, const SendMessage& action);
+  void Carry(std::size_t index, const ConnectEntry& action);
+  void Carry(std::size_t index, const ReplyCaller& action);
+  void Carry(std::size_t index, const AppendRecord& action);
+  void Carry(std::size_t index, const StartCall& action);
+  void Carry(std::size_t index, const AbortCall& action);
+  void Carry(std::size_t index, const ProbeBackend& action);
+  void Transmit(std::size_t from, std::size_t to, LinkId link,
+                const Message& message, Duration delay);
+  void ReadLog(std::size_t index, std::uint64_t generation, LogStream stream);
+  Duration LogDelay();
+  LogOffset Store(LogStream stream, const RecordId& id,
+                  const std::string& body);
+  void FollowTruth();
+  void NoteVersions();
+  void EndCall(const std::shared_ptr<Call>& call, const CallReport& report);
+  void RunCall(const std::shared_ptr<Call>& call);
+  void FailCallers(std::size_t entry);
+  void KeepEvents(std::size_t index);
+  void NoteDriver(const std::string& what);
+
+  WorldOptions options_;
+  Random random_;
+  TimePoint now_{1'000'000};
+  std::uint64_t next_order_ = 0;
+  std::priority_queue<Timed, std::vector<Timed>, std::greater<>> steps_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::uint64_t next_link_ = 1;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  MessageFaults message_faults_;
+  LogFault log_fault_ = LogFault::kNone;
+  std::array<LogStore, kLogStreams> log_;
+  ConfigurationReader truth_;
+  std::map<DataCentreName, DataCentreState> judged_;
+  Judge judge_;
+  std::map<CallerHandle, Waiting> waiting_;
+  std::set<CallerHandle> gone_;  ///< Callers that hung up.
+  std::uint64_t next_caller_ = 1;
+  std::map<AttemptId, std::shared_ptr<Call>> calls_;
+  std::map<std::string, std::uint64_t> fault_counts_;
+  std::vector<std::pair<TimePoint, std::string>> old_events_;
+};
+
+}  // namespace geranium::soak
+
+#endif  // GERANIUM_TESTS_SOAK_WORLD_H_
