Let a worker never start what it said it had not started

Ruled out: numbering messages per link, which does not help after a reconnect. Change: AttemptMemory settles each attempt once as started or dropped, for 60 s; older ones are passed over in silence.

--- a/src/data_centre/configuration.cc
+++ b/src/data_centre/configuration.cc
@@ -83,13 +83,36 @@
     position_ = LogOffset(position_.value() + 1);
   }
   tail_ = batch.next;
+  if (!has_base_ && !FindBase()) return {};
+  return FoldPending();
+}
+
+std::vector<ConfigurationReader::Decision> ConfigurationReader::FoldPending() {
   std::vector<Decision> decisions;
-  if (!has_base_ && !FindBase()) return decisions;
   for (const Pending& pending : pending_) decisions.push_back(Fold(pending));
   pending_.clear();
   return decisions;
 }
 
+// All that changes a state is at its version or before, so the records after
+// the version are enough, whether or not those up to it are still kept.
+std::vector<ConfigurationReader::Decision> ConfigurationReader::BeginFrom(
+    const ConfigurationState& state) {
+  if (has_base_ || state.version == Version(0)) return {};
+  const std::int64_t after = state.version.value() + 1;
+  const LogOffset oldest =
+      pending_.empty() ? position_ : pending_.front().record.offset;
+  if (oldest.value() > after) return {};
+  state_ = state;
+  has_base_ = true;
+  // Its records may be gone any time, so a snapshot is due.
+  base_appended_ = TimePoint::Never();
+  std::erase_if(pending_, [&](const Pending& pending) {
+    return pending.record.offset.value() < after;
+  });
+  return FoldPending();
+}
+
 void ConfigurationReader::StartAt(LogOffset first) {
   position_ = first;
   has_base_ = first == LogOffset(1);
--- a/src/data_centre/configuration.h
+++ b/src/data_centre/configuration.h
@@ -43,6 +43,10 @@
   /// Folds a batch that was read from `position()` on.
   std::vector<Decision> Read(const LogBatch& batch, TimePoint now);
 
+  /// Begins from a state that peers had in force, if the log still has every
+  /// record after it. Does nothing if the state is known already.
+  std::vector<Decision> BeginFrom(const ConfigurationState& state);
+
   /// The offset to read from next.
   LogOffset position() const { return position_; }
   /// True once the state is known from the log alone.
@@ -61,6 +65,7 @@
 
   void StartAt(LogOffset first);
   bool FindBase();
+  std::vector<Decision> FoldPending();
   Decision Fold(const Pending& pending);
   void Rest(Verdict verdict, const Pending& pending,
             const ConfigurationRecord& record);
--- a/src/entry/dispatcher_offers.cc
+++ b/src/entry/dispatcher_offers.cc
@@ -156,12 +156,11 @@
   const AttemptId id{options_.incarnation, next_attempt_++};
   const bool has_free_slot = worker.FreeSlots(job.task_class) > 0;
   const TaskTraits traits{job.task_class, job.IsRepeatable()};
-  const bool granted =
-      job.claimed && std::visit(
-                         [&](const auto& policy) {
-                           return policy.GrantsWithOffer(traits, has_free_slot);
-                         },
-                         options_.policy);
+  const bool granted = std::visit(
+      [&](const auto& policy) {
+        return policy.GrantsWithOffer(traits, has_free_slot);
+      },
+      options_.policy);
   Attempt& attempt = attempts_[id];
   attempt.task = TaskRef{job.id, index};
   attempt.worker = worker.profile.id;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -271,10 +271,8 @@
     EndStep(now);
     return;
   }
-  for (Decision& decision : reader_.Read(batch, now)) {
-    decisions_.push_back(std::move(decision));
-    if (decisions_.size() > kMostDecisions) decisions_.pop_front();
-  }
+  Remember(reader_.Read(batch, now));
+  Remember(reader_.BeginFrom(configuration_.state()));
   if (reader_.at_tail()) freshness_.Confirm(sent_at);
   BeginStep(now);
   if (reader_.has_base()) AdoptConfiguration(reader_.state(), now);
@@ -282,6 +280,13 @@
   EndStep(now);
 }
 
+void EntryNode::Remember(std::vector<Decision> decisions) {
+  for (Decision& decision : decisions) {
+    decisions_.push_back(std::move(decision));
+    if (decisions_.size() > kMostDecisions) decisions_.pop_front();
+  }
+}
+
 // Done at half of the retention, at a time of each entry's own, so that one
 // entry does it and the others see it done.
 void EntryNode::AppendSnapshotIfDue(TimePoint now) {
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -160,6 +160,7 @@
   std::set<std::string> EntryAddresses() const;
   void CountEntries();
   void AdoptConfiguration(const ConfigurationState& state, TimePoint now);
+  void Remember(std::vector<Decision> decisions);
   void AppendSnapshotIfDue(TimePoint now);
   std::optional<LinkId> LinkOf(Incarnation entry) const;
   void Send(LinkId link, Message message);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -24,7 +24,6 @@
   TaskSpec spec;
   TaskState state = TaskState::kWaiting;
   std::vector<AttemptId> attempts;  ///< Those that are still open.
-  std::optional<AttemptId> held;    ///< Ready, while the key is unclaimed.
   int bounces = 0;                  ///< Times it came back not started.
   int grants_unanswered = 0;
   bool in_doubt = false;  ///< A grant will never be answered.
--- a/src/worker/agent_node.cc
+++ b/src/worker/agent_node.cc
@@ -10,7 +10,6 @@
 
 constexpr Duration kResultResend{1000};
 constexpr Duration kResultRetention{30'000};
-constexpr Duration kStartMemory{60'000};
 constexpr Duration kUrgentMemory{10'000};
 constexpr Duration kProbeTimeout{500};
 constexpr Duration kLeavingLimit{3000};
@@ -169,12 +168,17 @@
 
 // ---- offers
 
-// Once starts are forgotten, nothing can be said about an old attempt: neither
-// that it ran nor that it did not, so it is passed over in silence.
-bool AgentNode::MayHaveStarted(const AttemptId& id) const {
-  if (started_.contains(id)) return true;
-  const auto found = forgotten_.find(id.entry);
-  return found != forgotten_.end() && id.number <= found->second;
+// An attempt that is settled stays so: one that was started is passed over,
+// and of one that was dropped the entry is told again. Of one that is too old
+// to be remembered nothing can be said.
+bool AgentNode::AnswerSettled(const AttemptId& id, TimePoint now) {
+  const auto fate = memory_.Find(id);
+  if (fate == AttemptFate::kDropped) {
+    SayNotStarted(
+        id, Reason(ErrorCode::kUnavailable, "offer", "dropped before"), now);
+    return true;
+  }
+  return fate.has_value() || memory_.MayBeForgotten(id);
 }
 
 std::optional<Error> AgentNode::RefuseOffer(const Offer& offer,
@@ -204,14 +208,13 @@
 void AgentNode::On(LinkId link, const Offer& offer, TimePoint now) {
   ++counters_.offers;
   ++peers_[link].offers_seen;
-  if (attempts_.contains(offer.attempt) || MayHaveStarted(offer.attempt)) {
+  if (attempts_.contains(offer.attempt) || AnswerSettled(offer.attempt, now)) {
     ++counters_.duplicates;
     return;
   }
   if (auto reason = RefuseOffer(offer, now)) {
-    ++counters_.not_started;
-    SendToEntry(offer.attempt.entry, NotStarted{offer.attempt, *reason, {}},
-                now);
+    memory_.Settle(offer.attempt, AttemptFate::kDropped, now);
+    SayNotStarted(offer.attempt, *reason, now);
     return;
   }
   Attempt& attempt = attempts_[offer.attempt];
@@ -287,17 +290,16 @@
 void AgentNode::On(LinkId /*link*/, const Grant& grant, TimePoint now) {
   const auto found = attempts_.find(grant.attempt);
   if (found == attempts_.end()) {
-    if (MayHaveStarted(grant.attempt)) {
+    if (AnswerSettled(grant.attempt, now)) {
       ++counters_.duplicates;
       return;
     }
     ++counters_.late_grants;
-    SendToEntry(grant.attempt.entry,
-                NotStarted{grant.attempt,
-                           Reason(ErrorCode::kUnavailable, "grant",
-                                  "the grant came after its time to live"),
-                           {}},
-                now);
+    memory_.Settle(grant.attempt, AttemptFate::kDropped, now);
+    SayNotStarted(grant.attempt,
+                  Reason(ErrorCode::kUnavailable, "grant",
+                         "the grant came after its time to live"),
+                  now);
     return;
   }
   Attempt& attempt = found->second;
@@ -337,10 +339,9 @@
 void AgentNode::Start(Attempt& attempt, TimePoint now) {
   CheckStart(now);
   const AttemptId id = attempt.offer.attempt;
-  const bool is_first = started_.emplace(id, now).second;
+  const bool is_first = memory_.Settle(id, AttemptFate::kStarted, now);
   CheckInvariant(Invariant::kStartsAtMostOnce, is_first,
                  "attempt " + ToString(id) + " started again");
-  started_order_.emplace_back(now, id);
   attempt.state = State::kRunning;
   attempt.started = now;
   ++running_;
@@ -381,6 +382,12 @@
   TakeOut(found->second);
   Note(EventKind::kNotStarted, now, &found->second, reason.message);
   attempts_.erase(found);
+  memory_.Settle(id, AttemptFate::kDropped, now);
+  SayNotStarted(id, std::move(reason), now);
+}
+
+void AgentNode::SayNotStarted(const AttemptId& id, Error reason,
+                              TimePoint now) {
   ++counters_.not_started;
   SendToEntry(id.entry, NotStarted{id, std::move(reason), {}}, now);
 }
@@ -436,9 +443,9 @@
   }
   Note(EventKind::kCallEnded, now, &attempt, report.message);
   if (report.end == CallEnd::kNotConnected) {
-    // Nothing was sent, so the attempt has not started; its id stays
-    // remembered, since a second grant for it must not start it either.
+    // Nothing was sent, so the attempt has not started after all.
     attempt.state = State::kDone;
+    memory_.Drop(id);
     DropUnstarted(
         id, Reason(ErrorCode::kUnavailable, "connect", report.message), now);
   } else {
@@ -518,7 +525,8 @@
   ExpireQueued(now);
   WatchBackend(now);
   ResendResults(now);
-  ForgetOldStarts(now);
+  memory_.Forget(
+      now, [this](const AttemptId& id) { return attempts_.contains(id); });
   ServeQueue(now);
 }
 
@@ -587,17 +595,6 @@
   ServeQueue(now);
 }
 
-void AgentNode::ForgetOldStarts(TimePoint now) {
-  while (!started_order_.empty()) {
-    const auto& [at, id] = started_order_.front();
-    if (now - at <= kStartMemory || attempts_.contains(id)) return;
-    std::uint64_t& newest = forgotten_[id.entry];
-    newest = std::max(newest, id.number);
-    started_.erase(id);
-    started_order_.pop_front();
-  }
-}
-
 // ---- leaving
 
 void AgentNode::Leave(TimePoint now) {
--- a/src/worker/agent_node.h
+++ b/src/worker/agent_node.h
@@ -1,7 +1,6 @@
 #ifndef GERANIUM_WORKER_AGENT_NODE_H_
 #define GERANIUM_WORKER_AGENT_NODE_H_
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +13,7 @@
 #include "base/ids.h"
 #include "link/messages.h"
 #include "worker/actions.h"
+#include "worker/attempt_memory.h"
 #include "worker/backend_monitor.h"
 #include "worker/offer_queue.h"
 #include "worker/start_gate.h"
@@ -123,7 +123,7 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
-  bool MayHaveStarted(const AttemptId& id) const;
+  bool AnswerSettled(const AttemptId& id, TimePoint now);
   std::optional<Error> RefuseOffer(const Offer& offer, TimePoint now) const;
   void Acknowledge(const Attempt& attempt, TimePoint now);
   void ServeQueue(TimePoint now);
@@ -131,6 +131,7 @@
   void HoldSlot(Attempt& attempt, TimePoint now);
   void Start(Attempt& attempt, TimePoint now);
   void CheckStart(TimePoint now) const;
+  void SayNotStarted(const AttemptId& id, Error reason, TimePoint now);
   void DropUnstarted(const AttemptId& id, Error reason, TimePoint now);
   void DropAllUnstarted(const Error& reason, TimePoint now);
   void TakeOut(const Attempt& attempt);
@@ -140,7 +141,6 @@
   void ExpireReadies(TimePoint now);
   void ExpireQueued(TimePoint now);
   void ResendResults(TimePoint now);
-  void ForgetOldStarts(TimePoint now);
   void CloseGateIfNeeded(TimePoint now);
   void WatchBackend(TimePoint now);
   void Send(LinkId link, Message message);
@@ -159,10 +159,7 @@
   BackendMonitor monitor_;
   OfferQueue queue_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::unordered_map<AttemptId, TimePoint> started_;
-  std::deque<std::pair<TimePoint, AttemptId>> started_order_;
-  // Attempts up to this number may have been started and forgotten since.
-  std::map<Incarnation, std::uint64_t> forgotten_;
+  AttemptMemory memory_;
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, LinkId> entry_links_;
   std::map<Incarnation, TimePoint> entry_lost_;
