--- a/src/entry/dispatcher_attempts.cc
+++ b/src/entry/dispatcher_attempts.cc
@@ -299,6 +299,7 @@
   Job& job = jobs_.at(attempt.task.job);
   Task& task = job.tasks[attempt.task.task];
   const TaskOutcome& outcome = result.outcome;
+  task.has_run = true;
   const bool succeeded = outcome.status == TaskStatus::kSucceeded;
   const bool is_workers_fault =
       !succeeded && (result.unreachable || outcome.http_status >= 500);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -27,10 +27,13 @@
   int bounces = 0;                  ///< Times it came back not started.
   int grants_unanswered = 0;
   bool in_doubt = false;  ///< A grant will never be answered.
+  bool has_run = false;   ///< A result came, if only of a failure.
   TaskOutcome outcome;
 
   /// True if a worker may have started it.
-  bool MayHaveRun() const { return grants_unanswered > 0 || in_doubt; }
+  bool MayHaveRun() const {
+    return grants_unanswered > 0 || in_doubt || has_run;
+  }
 };
 
 /// A submission that was admitted.
