Try the promises on real processes with kills, freezes and outages

Cause: the randomised runs prove the decisions, not the sockets and clocks. Found by them, each now green: - an entry refused keys for its first second, since reads of both streams shared one retry wait: the waits are apart, and a claim is decided by reading alone; - a frozen backend server was never seen as quiet, since a hedge that won cancelled the call that would have shown it: a late call that is given up stays a sign until there is an answer; - a 204 answer with a body ended the server that sent it.

--- a/src/entry/entry_submissions.cc
+++ b/src/entry/entry_submissions.cc
@@ -151,7 +151,7 @@
     JoinHolder({caller}, fingerprint, *holder, now);
     return;
   }
-  if (!keys_.IsReady(now)) {
+  if (keys_.IsOut(now)) {
     RefuseKeyed(caller, key, fingerprint,
                 MakeError(ErrorCode::kLogOutage, "claim", "log",
                           "keys cannot be claimed while the log is out",
--- a/src/entry/key_table.cc
+++ b/src/entry/key_table.cc
@@ -55,8 +55,7 @@
       Fold(claim, now - record.age, now);
     }
   }
-  at_tail_ = position_ >= batch.next;
-  if (at_tail_) confirmed_ = std::max(confirmed_, sent_at);
+  if (position_ >= batch.next) confirmed_ = std::max(confirmed_, sent_at);
 }
 
 void KeyTable::Fold(const KeyClaim& claim, TimePoint appended, TimePoint now) {
@@ -71,8 +70,9 @@
   wanted_.erase(wanted);
 }
 
-bool KeyTable::IsReady(TimePoint now) const {
-  return at_tail_ && now - confirmed_ <= options_.freshness;
+bool KeyTable::IsOut(TimePoint now) const {
+  const TimePoint since = std::max(confirmed_, began_.value_or(now));
+  return now - since > options_.freshness;
 }
 
 const KeyClaim* KeyTable::Find(const IdempotencyKey& key) const {
@@ -125,6 +125,7 @@
 }
 
 void KeyTable::OnTick(TimePoint now) {
+  if (!began_) began_ = now;
   while (!expiry_.empty() && expiry_.begin()->first <= now) {
     holders_.erase(expiry_.begin()->second);
     expiry_.erase(expiry_.begin());
--- a/src/entry/key_table.h
+++ b/src/entry/key_table.h
@@ -32,7 +32,7 @@
   Incarnation incarnation;
   Duration window{600'000};      ///< How long a key is remembered.
   Duration claim_timeout{5000};  ///< How long a submission waits for its claim.
-  Duration freshness{3000};      ///< How old the newest read may be.
+  Duration freshness{3000};      ///< Without a read for longer, it is out.
 };
 
 /// Callers' own keys. Claims are records on the log, many in one append; of
@@ -54,8 +54,9 @@
   void Read(const LogBatch& batch, TimePoint sent_at, TimePoint now);
   LogOffset position() const { return position_; }
 
-  /// True if every claim of the window up to now has been read.
-  bool IsReady(TimePoint now) const;
+  /// True if the claims could not be read for a while, so that a claim would
+  /// not be decided in time.
+  bool IsOut(TimePoint now) const;
 
   /// Who holds the key; none if it is free.
   const KeyClaim* Find(const IdempotencyKey& key) const;
@@ -89,7 +90,7 @@
   KeyTableOptions options_;
   Random& random_;
   LogOffset position_{1};
-  bool at_tail_ = false;
+  std::optional<TimePoint> began_;
   TimePoint confirmed_ = TimePoint::Never();
   std::unordered_map<IdempotencyKey, Holder> holders_;
   std::multimap<TimePoint, IdempotencyKey> expiry_;
--- a/src/runtime/entry_server.cc
+++ b/src/runtime/entry_server.cc
@@ -42,7 +42,7 @@
       log_(http_, settings_.log_address),
       server_(loop_.traffic(),
               [this](const ExchangePtr& exchange) { OnRequest(exchange); }),
-      log_retry_(kFirstLogRetry) {}
+      log_retries_{kFirstLogRetry, kFirstLogRetry} {}
 
 int EntryServer::Run() {
   const EntryOptions& options = settings_.node;
@@ -312,13 +312,14 @@
 void EntryServer::OnLogRead(LogStream stream, TimePoint sent_at,
                             const Result<LogBatch>& batch) {
   Duration wait{0};
+  Duration& retry = log_retries_[static_cast<std::size_t>(stream)];
   if (batch) {
-    log_retry_ = kFirstLogRetry;
+    retry = kFirstLogRetry;
     node_.OnLogRead(stream, batch.value(), sent_at, clock_.Now());
     Carry();
   } else {
-    wait = log_retry_;
-    log_retry_ = std::min(kLongestLogRetry, log_retry_ * 2);
+    wait = retry;
+    retry = std::min(kLongestLogRetry, retry * 2);
   }
   NoteLog(stream, batch);
   const LogOffset from = node_.LogPosition(stream);
--- a/src/runtime/entry_server.h
+++ b/src/runtime/entry_server.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_RUNTIME_ENTRY_SERVER_H_
 #define GERANIUM_RUNTIME_ENTRY_SERVER_H_
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -79,7 +80,7 @@
   std::unordered_map<CallerHandle, Waiting> waiting_;
   std::uint64_t logged_events_ = 0;
   bool log_is_up_ = true;
-  Duration log_retry_;
+  std::array<Duration, kLogStreams> log_retries_;
   std::optional<TimePoint> leaving_since_;
   int exit_status_ = 0;
 };
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -212,7 +212,10 @@
                   std::to_string(*response.retry_after_s));
     }
     message.keep_alive(keep);
-    message.body() = std::move(response.body);
+    // These have no body by definition, and Beast throws if one is given.
+    const bool has_no_body = response.status < 200 || response.status == 204 ||
+                             response.status == 304;
+    if (!has_no_body) message.body() = std::move(response.body);
     message.prepare_payload();
     stream.expires_after(kWriteTimeout);
     beast::error_code error;
--- a/src/worker/backend_monitor.cc
+++ b/src/worker/backend_monitor.cc
@@ -14,6 +14,10 @@
                                TimePoint now) {
   const auto found = calls_.find(attempt);
   if (found == calls_.end()) return;
+  if (end == CallEnd::kAborted) {
+    Abort(attempt, now);
+    return;
+  }
   const Call call = found->second;
   calls_.erase(found);
   switch (end) {
@@ -37,11 +41,31 @@
   }
 }
 
-Duration BackendMonitor::OverdueAfter(const Call& call) const {
+// A call that is given up because it is late, say after a hedge was answered
+// elsewhere, stays a sign of silence until there is an answer. One that is
+// cancelled early says nothing.
+void BackendMonitor::Abort(const AttemptId& attempt, TimePoint now) {
+  Call& call = calls_.at(attempt);
+  if (now - call.started > UsualTime(call)) {
+    call.aborted = true;
+  } else {
+    calls_.erase(attempt);
+  }
+}
+
+void BackendMonitor::ForgetAborted() {
+  std::erase_if(calls_, [](const auto& item) { return item.second.aborted; });
+}
+
+Duration BackendMonitor::UsualTime(const Call& call) const {
   const auto found = run_times_.find(call.service);
   if (found == run_times_.end()) return call.timeout;
-  const Duration usual = found->second.P99(call.timeout) * kOverdueFactor;
-  return std::min(call.timeout, std::max(kQuietFloor, usual));
+  return found->second.P99(call.timeout);
+}
+
+Duration BackendMonitor::OverdueAfter(const Call& call) const {
+  const Duration late = UsualTime(call) * kOverdueFactor;
+  return std::min(call.timeout, std::max(kQuietFloor, late));
 }
 
 // A long call alone is no sign: its backend server may answer others. Silence
@@ -61,12 +85,14 @@
   if (quiet_) return;
   quiet_ = true;
   on_trial_ = false;
+  ForgetAborted();
   next_probe_ = now + probe_interval_;
 }
 
 void BackendMonitor::Recover() {
   quiet_ = false;
   on_trial_ = false;
+  ForgetAborted();
   probe_interval_ = kFirstProbe;
 }
 
--- a/src/worker/backend_monitor.h
+++ b/src/worker/backend_monitor.h
@@ -28,7 +28,7 @@
  public:
   static constexpr Duration kQuietFloor{300};
   static constexpr Duration kFirstProbe{250};
-  static constexpr Duration kLongestProbe{8000};
+  static constexpr Duration kLongestProbe{2000};
   static constexpr int kFailuresToFail = 5;
   /// A call is overdue at this many times the service's 99th percentile.
   static constexpr int kOverdueFactor = 3;
@@ -54,8 +54,13 @@
     ServiceName service;
     TimePoint started;
     Duration timeout;
+    bool aborted = false;
   };
 
+  void Abort(const AttemptId& attempt, TimePoint now);
+  void ForgetAborted();
+  Duration UsualTime(const Call& call) const;
+
   Duration OverdueAfter(const Call& call) const;
   void BecomeQuiet(TimePoint now);
   void Recover();
--- a/standins/backend_server.cc
+++ b/standins/backend_server.cc
@@ -69,7 +69,7 @@
   void Serve(const ExchangePtr& exchange) {
     const HttpRequest& request = exchange->request();
     if (request.method != "POST") {
-      exchange->Reply(JsonResponse(204, Json::object()));
+      exchange->Reply(JsonResponse(200, Json::object()));
       return;
     }
     const Json body = Json::parse(request.body, nullptr, false);
--- /dev/null
+++ b/tests/process/process_site.cc
@@ -0,0 +1,282 @@
+#include "process/process_site.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+extern char** environ;
+
+namespace geranium::process {
+namespace {
+
+const char* const kCentres[] = {"north", "south"};
+
+constexpr char kText[] =
+    "[data_centre north]\nregion = r\n[data_centre south]\nregion = r\n"
+    "[service lookup]\nclass = urgent\nidempotent = true\ntimeout_ms = 3000\n"
+    "[service booking]\ntimeout_ms = 3000\n"
+    "[service batch]\nclass = bulk\ntimeout_ms = 5000\n";
+
+pid_t Launch(const std::vector<std::string>& words, const char* output) {
+  std::vector<char*> arguments;
+  for (const std::string& word : words) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output,
+                                   O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = 0;
+  const int error = posix_spawn(&pid, arguments[0], &actions, nullptr,
+                                arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  return error == 0 ? pid : -1;
+}
+
+int Reap(pid_t pid) {
+  int status = 0;
+  waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+}  // namespace
+
+std::string Answer::Execution() const {
+  if (!body.is_object() || !body.contains("error")) return "";
+  return body.at("error").value("execution", "");
+}
+
+bool Eventually(const std::function<bool()>& holds, Duration patience) {
+  const TimePoint until = SystemClock().Now() + patience;
+  while (!holds()) {
+    if (SystemClock().Now() > until) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+std::string Program(const std::string& name) {
+  return std::string(GERANIUM_BUILD_DIR) + "/" + name;
+}
+
+int RunProgram(const std::vector<std::string>& words) {
+  const pid_t pid = Launch(words, "/dev/null");
+  return pid < 0 ? -1 : Reap(pid);
+}
+
+ProcessSite::ProcessSite(int port) : port_(port) {
+  Spawn("log", {Program("platform-log"), "--listen", Log()});
+  for (int i = 1; i <= kEntries; ++i) StartEntry(i);
+  for (int i = 1; i <= kWorkers; ++i) {
+    Spawn("backend-" + std::to_string(i),
+          {Program("backend-server"), "--listen", Backend(i)});
+    StartAgent(i);
+  }
+  REQUIRE(
+      Eventually([&] { return Call(Log(), "GET", "/v1/none").status == 404; }));
+  const ChangeOutcome published =
+      Operators().Change(TextRecord{kText, Version(0)}, Duration(5000));
+  REQUIRE(published.state == ChangeState::kAccepted);
+  AwaitWorkers(kWorkers);
+}
+
+ProcessSite::~ProcessSite() {
+  for (const auto& [name, pid] : processes_) kill(pid, SIGKILL);
+  for (const auto& [name, pid] : processes_) Reap(pid);
+}
+
+std::string ProcessSite::Address(int offset) const {
+  return "127.0.0.1:" + std::to_string(port_ + offset);
+}
+
+void ProcessSite::Spawn(const std::string& name,
+                        std::vector<std::string> words) {
+  const std::string output =
+      Program("process-test-" + std::to_string(port_) + "-" + name + ".log");
+  const pid_t pid = Launch(words, output.c_str());
+  REQUIRE(pid > 0);
+  processes_[name] = pid;
+}
+
+void ProcessSite::StartEntry(int entry) {
+  Spawn("entry-" + std::to_string(entry),
+        {Program("geranium-entry"), "--set",
+         "entry.id=entry-" + std::to_string(entry), "--set",
+         "entry.link_address=" + EntryLink(entry), "--set",
+         "entry.http_address=" + EntryHttp(entry), "--set",
+         "peers.entries=" + EntryLink(1) + "," + EntryLink(2), "--set",
+         "log.address=" + Log()});
+}
+
+void ProcessSite::StartAgent(int worker) {
+  const std::string centre = kCentres[(worker - 1) % 2];
+  Spawn("agent-" + std::to_string(worker),
+        {Program("geranium-agent"), "--set",
+         "worker.id=worker-" + std::to_string(worker), "--set",
+         "worker.data_centre=" + centre, "--set",
+         "worker.services=lookup,booking,batch", "--set", "worker.slots=4",
+         "--set", "worker.http_address=" + AgentHttp(worker), "--set",
+         "backend.address=" + Backend(worker), "--set",
+         "entries.addresses=" + EntryLink(1) + "," + EntryLink(2)});
+}
+
+void ProcessSite::AwaitWorkers(std::size_t workers) {
+  const bool up = Eventually([&] {
+    for (int i = 1; i <= kEntries; ++i) {
+      const Answer status = Call(EntryHttp(i), "GET", "/v1/operator/status");
+      if (!status.IsComplete()) return false;
+      int answering = 0;
+      const Json& services = status.body.at("services");
+      if (!services.contains("lookup")) return false;
+      for (const Json& standing : services.at("lookup")) {
+        answering += standing.at("answering").get<int>();
+      }
+      const bool fresh = status.body.at("fresh").get<bool>();
+      if (!fresh || answering != static_cast<int>(workers)) return false;
+    }
+    return true;
+  });
+  REQUIRE(up);
+}
+
+void ProcessSite::Signal(const std::string& name, int signal) {
+  REQUIRE(kill(processes_.at(name), signal) == 0);
+}
+
+int ProcessSite::AwaitExit(const std::string& name) {
+  const pid_t pid = processes_.at(name);
+  processes_.erase(name);
+  return Reap(pid);
+}
+
+Answer ProcessSite::Call(const std::string& address, const std::string& method,
+                         const std::string& target, const Json& body,
+                         std::map<std::string, std::string> headers) const {
+  HttpCall call;
+  call.address = address;
+  call.method = method;
+  call.target = target;
+  call.headers = std::move(headers);
+  call.timeout = Duration(40'000);
+  if (!body.is_null()) call.body = body.dump();
+  const HttpOutcome outcome = Fetch(call);
+  Answer answer;
+  if (outcome.failure != HttpFailure::kNone) return answer;
+  answer.status = outcome.response.status;
+  answer.body = Json::parse(outcome.response.body, nullptr, false);
+  return answer;
+}
+
+Answer ProcessSite::Request(int entry, const std::string& service, int run_ms,
+                            const std::string& id,
+                            const std::string& key) const {
+  std::map<std::string, std::string> headers;
+  if (!key.empty()) headers["Idempotency-Key"] = key;
+  return Call(EntryHttp(entry), "POST", "/v1/services/" + service + "/requests",
+              {{"run_ms", run_ms}, {"id", id}}, headers);
+}
+
+std::future<Answer> ProcessSite::RequestLater(int entry,
+                                              const std::string& service,
+                                              int run_ms, const std::string& id,
+                                              const std::string& key) const {
+  return std::async(std::launch::async, [=, this] {
+    return Request(entry, service, run_ms, id, key);
+  });
+}
+
+std::future<Answer> ProcessSite::JobLater(int entry, int tasks, int run_ms,
+                                          const std::string& id) const {
+  Json list = Json::array();
+  for (int i = 0; i < tasks; ++i) {
+    list.push_back(
+        {{"payload",
+          {{"run_ms", run_ms}, {"id", id + "/" + std::to_string(i)}}}});
+  }
+  const Json job{{"service", "batch"}, {"tasks", list}};
+  return std::async(std::launch::async, [=, this] {
+    return Call(EntryHttp(entry), "POST", "/v1/jobs", job);
+  });
+}
+
+Json ProcessSite::StartsAt(int worker) const {
+  const Answer answer = Call(Backend(worker), "GET", "/starts");
+  return answer.body.is_array() ? answer.body : Json::array();
+}
+
+int ProcessSite::Starts(const std::string& id, int worker) const {
+  int starts = 0;
+  for (int i = 1; i <= kWorkers; ++i) {
+    if (worker != 0 && worker != i) continue;
+    for (const Json& start : StartsAt(i)) {
+      if (start.value("id", "").starts_with(id)) ++starts;
+    }
+  }
+  return starts;
+}
+
+int ProcessSite::MostStartsOfOne(const std::string& id) const {
+  std::map<std::string, int> counts;
+  int most = 0;
+  for (int i = 1; i <= kWorkers; ++i) {
+    for (const Json& start : StartsAt(i)) {
+      const std::string own = start.value("id", "");
+      if (own.starts_with(id)) most = std::max(most, ++counts[own]);
+    }
+  }
+  return most;
+}
+
+void ProcessSite::SetBackend(int worker, const std::string& mode) const {
+  REQUIRE(
+      Call(Backend(worker), "POST", "/fault", {{"mode", mode}}).IsComplete());
+}
+
+void ProcessSite::SetLog(const std::string& mode) const {
+  REQUIRE(Call(Log(), "POST", "/v1/fault", {{"mode", mode}}).IsComplete());
+}
+
+double ProcessSite::Violations() const {
+  double sum = 0;
+  std::vector<std::string> addresses;
+  for (int i = 1; i <= kEntries; ++i) addresses.push_back(EntryHttp(i));
+  for (int i = 1; i <= kWorkers; ++i) addresses.push_back(AgentHttp(i));
+  for (const std::string& address : addresses) {
+    HttpCall call;
+    call.address = address;
+    call.target = "/metrics";
+    const std::string text = Fetch(call).response.body;
+    const std::string name = "\ngeranium_invariant_violations_total{";
+    for (auto at = text.find(name); at != std::string::npos;
+         at = text.find(name, at + 1)) {
+      sum += std::strtod(text.c_str() + text.find("} ", at) + 2, nullptr);
+    }
+  }
+  return sum;
+}
+
+Site ProcessSite::Operators() const {
+  return Site(Log(), {EntryHttp(1), EntryHttp(2)});
+}
+
+ChangeOutcome ProcessSite::SetDataCentre(const std::string& name,
+                                         bool in) const {
+  const Site site = Operators();
+  const auto view = site.ReadConfiguration();
+  REQUIRE(view.has_value());
+  const DataCentreState* known =
+      FindDataCentre(view.value().reader.state(), DataCentreName(name));
+  REQUIRE(known != nullptr);
+  return site.Change(DataCentreRecord{known->name, in, known->changed},
+                     Duration(5000));
+}
+
+}  // namespace geranium::process
--- /dev/null
+++ b/tests/process/process_site.h
@@ -0,0 +1,102 @@
+#ifndef GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
+#define GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "operator/site.h"
+#include "runtime/http_client.h"
+
+namespace geranium::process {
+
+using Json = nlohmann::json;
+
+/// What came back over HTTP; status 0 if nothing did.
+struct Answer {
+  int status = 0;
+  Json body;
+
+  bool IsComplete() const { return status == 200; }
+  std::string Execution() const;
+};
+
+/// A small site of real processes on loopback: 2 entries, and a backend server
+/// and an agent for each of 4 workers in 2 data centres. Ends what it started.
+class ProcessSite {
+ public:
+  static constexpr int kEntries = 2;
+  static constexpr int kWorkers = 4;
+
+  /// `port` is the first of 400 that the site may use.
+  explicit ProcessSite(int port);
+  ~ProcessSite();
+  ProcessSite(const ProcessSite&) = delete;
+  ProcessSite& operator=(const ProcessSite&) = delete;
+
+  void StartEntry(int entry);
+  void StartAgent(int worker);
+  /// Waits until every entry counts so many live workers.
+  void AwaitWorkers(std::size_t workers);
+
+  void Signal(const std::string& name, int signal);
+  /// The exit status; -1 if a signal ended it.
+  int AwaitExit(const std::string& name);
+
+  Answer Call(const std::string& address, const std::string& method,
+              const std::string& target, const Json& body = Json(),
+              std::map<std::string, std::string> headers = {}) const;
+  Answer Request(int entry, const std::string& service, int run_ms,
+                 const std::string& id, const std::string& key = "") const;
+  std::future<Answer> RequestLater(int entry, const std::string& service,
+                                   int run_ms, const std::string& id,
+                                   const std::string& key = "") const;
+  /// A job of `tasks` tasks with the ids "ID/0", "ID/1" and so on.
+  std::future<Answer> JobLater(int entry, int tasks, int run_ms,
+                               const std::string& id) const;
+
+  /// Starts of all tasks whose id begins with `id`, by the backend servers'
+  /// own records; `worker` 0 is all.
+  int Starts(const std::string& id, int worker = 0) const;
+  /// The same for tasks with an id of their own; the most of any one.
+  int MostStartsOfOne(const std::string& id) const;
+  void SetBackend(int worker, const std::string& mode) const;
+  void SetLog(const std::string& mode) const;
+  double Violations() const;
+
+  Site Operators() const;
+  ChangeOutcome SetDataCentre(const std::string& name, bool in) const;
+
+  std::string Log() const { return Address(0); }
+  std::string EntryHttp(int entry) const { return Address(entry); }
+  std::string EntryLink(int entry) const { return Address(100 + entry); }
+  std::string AgentHttp(int worker) const { return Address(300 + worker); }
+  std::string Backend(int worker) const { return Address(200 + worker); }
+
+ private:
+  std::string Address(int offset) const;
+  void Spawn(const std::string& name, std::vector<std::string> words);
+  Json StartsAt(int worker) const;
+
+  int port_;
+  std::map<std::string, pid_t> processes_;
+};
+
+/// Waits until `holds`, for at most `patience`; the last value of it.
+bool Eventually(const std::function<bool()>& holds,
+                Duration patience = Duration(10'000));
+
+/// The path of a program that was built.
+std::string Program(const std::string& name);
+/// Runs a program to its end; its exit status.
+int RunProgram(const std::vector<std::string>& words);
+
+}  // namespace geranium::process
+
+#endif  // GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
