--- a/src/entry/policy.h
+++ b/src/entry/policy.h
@@ -37,9 +37,11 @@
   std::size_t Choices(const TaskTraits& traits) const {
     return traits.task_class == TaskClass::kUrgent ? kUrgentChoices : kChoices;
   }
+  // One offer that waits is enough to be told of the next free slot; any more
+  // would be bound too early.
   int WaitingLimit(const TaskTraits& traits, int slots) const {
-    const int usual = std::max(2, slots / 2);
-    return traits.task_class == TaskClass::kUrgent ? usual * 2 : usual;
+    const bool urgent = traits.task_class == TaskClass::kUrgent;
+    return urgent ? std::max(2, slots / 2) : 1;
   }
   bool GrantsWithOffer(const TaskTraits& traits, bool has_free_slot) const {
     return traits.repeatable && has_free_slot;
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -91,7 +91,8 @@
   deltas.violations = after.violations - before.violations;
   report_.offered_slots = options_.busy_slots;
   double done = 0;
-  for (const double slots : report_.work_by_second) done += slots;
+  const auto within = static_cast<std::size_t>(options_.length.ms() / 1000);
+  for (std::size_t i = 0; i < within; ++i) done += report_.work_by_second[i];
   report_.work_done_slots =
       done * 1000 / static_cast<double>(options_.length.ms());
   while (!report_.work_by_second.empty() &&
