Bind a task to a worker only when a slot is held for it

Cause: an offer named its task, so a task bound to a busy worker had to be offered again elsewhere when a slot became free there. Change: tasks stay in the entry's fair queues until a worker says ready; offers only stand for them, and those left over serve the tasks that come next.

--- a/src/entry/dispatcher.cc
+++ b/src/entry/dispatcher.cc
@@ -33,6 +33,19 @@
   actions_.push_back(SendMessage{*worker.link, std::move(message)});
 }
 
+void Dispatcher::NoteAttempt(EventKind kind, TimePoint now, const AttemptId& id,
+                             std::string detail) {
+  const Attempt& attempt = attempts_.at(id);
+  Event event;
+  event.at = now;
+  event.kind = kind;
+  if (attempt.task) event.job = attempt.task->job;
+  event.attempt = id;
+  event.peer = attempt.worker.value();
+  event.detail = std::move(detail);
+  events_.Add(std::move(event));
+}
+
 void Dispatcher::Note(EventKind kind, TimePoint now, const TaskRef& task,
                       const AttemptId* attempt, const std::string& peer,
                       std::string detail) {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -2,7 +2,6 @@
 #define GERANIUM_ENTRY_DISPATCHER_H_
 
 #include <array>
-#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -43,7 +42,6 @@
   std::uint64_t answers_complete = 0;
   std::uint64_t answers_failed = 0;
   std::uint64_t offers = 0;
-  std::uint64_t second_offers = 0;
   std::uint64_t grants = 0;
   std::uint64_t results = 0;
   std::uint64_t late_results = 0;
@@ -106,7 +104,13 @@
   std::size_t waiting_tasks() const { return waiting_tasks_; }
 
  private:
-  using QueueKey = std::pair<TaskClass, ServiceName>;
+  /// The waiting tasks of one class and service, and the offers out for them.
+  struct Queue {
+    FairQueue tasks;
+    std::size_t waiting = 0;         ///< Tasks in it that are not dropped.
+    std::size_t offers = 0;          ///< Offers that are not granted.
+    std::size_t offers_to_free = 0;  ///< Of these, those to free slots.
+  };
 
   enum class TimerKind {
     kDeadline,
@@ -137,31 +141,38 @@
               TimePoint now);
 
   // Queues and offers (dispatcher_offers.cc).
-  void Enqueue(const Job& job, std::uint32_t task, bool at_front);
-  void EnqueueAll(const Job& job);
+  void Enqueue(Job& job, std::uint32_t index, bool at_front);
+  void EnqueueAll(Job& job);
+  void Unqueue(const Job& job, Task& task);
+  void CountWaiting(const Job& job, int change);
+  static QueueKey KeyOf(const Job& job);
+  std::optional<TaskRef> PeekWaiting(const QueueKey& key);
+  TaskRef PopWaiting(const QueueKey& key);
+  std::optional<QueueKey> NextQueue(const std::set<QueueKey>& blocked);
   void Pump(TimePoint now);
   void PumpWorker(WorkerView& worker, TimePoint now);
-  std::optional<QueueKey> NextQueue(const std::set<QueueKey>& blocked);
-  bool OfferHead(const QueueKey& key, TimePoint now);
-  bool OfferHeadTo(const QueueKey& key, WorkerView& worker, TimePoint now);
-  std::optional<TaskRef> PopWaiting(const QueueKey& key);
-  void PutBack(const TaskRef& ref);
-  void OfferWaitingTo(WorkerView& worker, TimePoint now);
-  bool OfferSecond(const TaskRef& ref, WorkerView& worker, TimePoint now);
+  bool OfferFor(const QueueKey& key, WorkerView* only, TimePoint now);
+  WorkerView* Find(const WorkerQuery& query, const Job& job, WorkerView* only,
+                   TimePoint now);
   WorkerQuery QueryFor(const Job& job, const Task& task) const;
-  WorkerView* ChooseFor(const Job& job, const Task& task, TimePoint now);
-  int WaitingLimit(TaskClass task_class, bool repeatable, int slots) const;
-  void SendOffer(Job& job, std::uint32_t index, WorkerView& worker,
+  bool GrantsWithOffer(const Job& job, bool has_free_slot) const;
+  AttemptId OpenAttempt(const Job& job, const Resources& size,
+                        WorkerView& worker);
+  void CountOffer(const Attempt& attempt, int change);
+  void SendOffer(const Job& job, const Resources& size, WorkerView& worker,
                  TimePoint now);
-  void SendOfferMessage(const AttemptId& id, const Attempt& attempt,
-                        WorkerView& worker, TimePoint now);
+  void SendGrantedOffer(const TaskRef& ref, WorkerView& worker, TimePoint now);
+  void SendOfferMessage(const AttemptId& id, const Job& job, WorkerView& worker,
+                        TimePoint now);
+  Assignment AssignmentOf(const TaskRef& ref) const;
 
   // Attempts and answers (dispatcher_attempts.cc).
-  bool MayGrant(const Job& job, const Attempt& attempt) const;
+  bool MayGrantAt(const WorkerId& worker) const;
   void GrantReady(const AttemptId& id, TimePoint now);
   void SendGrant(const AttemptId& id, TimePoint now);
-  void MarkGranted(Job& job, Task& task, const AttemptId& id, TimePoint now);
-  void WithdrawOthers(Task& task, const AttemptId& kept);
+  void MarkGranted(Job& job, std::uint32_t index, const AttemptId& id,
+                   TimePoint now);
+  void TakeBackAll(const Task& task);
   void TakeBack(const AttemptId& id);
   std::optional<Attempt> Close(const AttemptId& id);
   void ReturnTask(const TaskRef& ref, TimePoint now);
@@ -180,12 +191,15 @@
   void ResendGrants(WorkerView& worker, TimePoint now);
   void WatchWorkers(TimePoint now);
   void Fire(const Timer& timer, TimePoint now);
+  void FireRequeue(const TaskRef& ref);
   void FireHedge(const Timer& timer, TimePoint now);
   void AddTimer(TimePoint at, TimerKind kind, TaskRef task,
                 AttemptId attempt = {});
   WorkerView* Heard(LinkId link, const WorkerLoad& load, TimePoint now);
   Job* FindMutableJob(const JobId& id);
   void Send(const WorkerView& worker, Message message);
+  void NoteAttempt(EventKind kind, TimePoint now, const AttemptId& id,
+                   std::string detail);
   void Note(EventKind kind, TimePoint now, const TaskRef& task,
             const AttemptId* attempt, const std::string& peer,
             std::string detail);
@@ -201,14 +215,12 @@
   std::uint64_t next_attempt_ = 1;
   std::unordered_map<JobId, Job> jobs_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::map<QueueKey, FairQueue> queues_;
+  std::map<QueueKey, Queue> queues_;
   std::array<ServiceName, kTaskClasses> last_service_;
   ClassPicker picker_;
   std::array<std::size_t, kTaskClasses> waiting_by_class_{};
   std::size_t waiting_tasks_ = 0;
   std::map<TeamName, std::size_t> tasks_by_team_;
-  // Offers by age. A list, since one may be added while it is walked.
-  std::list<std::pair<TimePoint, TaskRef>> offered_;
   std::multimap<TimePoint, Timer> timers_;
   std::map<ServiceName, QuantileWindow> run_times_;
   std::map<ServiceName, double> mean_run_ms_;
--- a/src/entry/dispatcher_admission.cc
+++ b/src/entry/dispatcher_admission.cc
@@ -173,10 +173,6 @@
   Pump(now);
 }
 
-void Dispatcher::EnqueueAll(const Job& job) {
-  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) Enqueue(job, i, false);
-}
-
 void Dispatcher::CancelJob(const JobId& id, const Error& reason,
                            TimePoint now) {
   Job* job = FindMutableJob(id);
--- a/src/entry/dispatcher_attempts.cc
+++ b/src/entry/dispatcher_attempts.cc
@@ -10,6 +10,7 @@
 constexpr Duration kFirstRequeueWait{5};
 constexpr Duration kLongestRequeueWait{200};
 constexpr int kFreeBounces = 2;
+constexpr Duration kRefusalWait{20};
 constexpr Duration kOverdueSlack{2000};
 constexpr Duration kHedgeSlack{20};
 constexpr Duration kHedgeFloor{30};
@@ -41,16 +42,14 @@
 void Dispatcher::On(LinkId link, const Ready& ready, TimePoint now) {
   WorkerView* worker = Heard(link, ready.load, now);
   const auto found = attempts_.find(ready.attempt);
-  if (found == attempts_.end() || found->second.granted) {
-    if (found == attempts_.end() && worker != nullptr) {
-      ++counters_.wasted_messages;
-      Send(*worker, Withdraw{ready.attempt});
-    }
+  if (found == attempts_.end()) {
+    ++counters_.wasted_messages;
+    if (worker != nullptr) Send(*worker, Withdraw{ready.attempt});
     return;
   }
+  if (found->second.granted()) return;
   found->second.acknowledged = true;
-  Note(EventKind::kReadyReceived, now, found->second.task, &ready.attempt,
-       found->second.worker.value(), "");
+  NoteAttempt(EventKind::kReadyReceived, now, ready.attempt, "");
   GrantReady(ready.attempt, now);
   if (worker != nullptr) PumpWorker(*worker, now);
 }
@@ -58,13 +57,17 @@
 void Dispatcher::On(LinkId link, const NotStarted& not_started, TimePoint now) {
   WorkerView* worker = Heard(link, not_started.load, now);
   ++counters_.not_started;
-  const auto attempt = Close(not_started.attempt);
-  if (!attempt) return;
+  if (!attempts_.contains(not_started.attempt)) return;
+  NoteAttempt(EventKind::kNotStarted, now, not_started.attempt,
+              not_started.reason.message);
+  const Attempt attempt = *Close(not_started.attempt);
   counters_.wasted_messages += 2;
-  Note(EventKind::kNotStarted, now, attempt->task, &not_started.attempt,
-       attempt->worker.value(), not_started.reason.message);
-  ReturnTask(attempt->task, now);
-  if (worker != nullptr) PumpWorker(*worker, now);
+  if (attempt.granted()) {
+    ReturnTask(*attempt.task, now);
+  } else if (worker != nullptr) {
+    worker->refused_until = now + random_.Jitter(kRefusalWait);
+  }
+  Pump(now);
 }
 
 void Dispatcher::On(LinkId link, const TaskResult& result, TimePoint now) {
@@ -78,12 +81,11 @@
     ++counters_.late_results;
     ++counters_.wasted_messages;
   } else {
-    const TaskRef& task = found->second.task;
-    const bool belongs = task.job == result.job && task.task == result.task;
+    const auto& task = found->second.task;
+    const bool belongs = task == TaskRef{result.job, result.task};
     CheckInvariant(Invariant::kAnswerBelongsToRequest, belongs,
                    "result of " + ToString(result.attempt));
-    Note(EventKind::kResultReceived, now, task, &result.attempt,
-         found->second.worker.value(), "");
+    NoteAttempt(EventKind::kResultReceived, now, result.attempt, "");
     const auto attempt = Close(result.attempt);
     if (belongs) TakeResult(*attempt, result, now);
   }
@@ -121,11 +123,10 @@
 void Dispatcher::ResendGrants(WorkerView& worker, TimePoint now) {
   for (const AttemptId& id : worker.attempts) {
     const Attempt& attempt = attempts_.at(id);
-    const Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
     if (attempt.acknowledged) {
-      Send(worker, Grant{id, task.spec.payload});
+      Send(worker, Grant{id, AssignmentOf(*attempt.task)});
     } else {
-      SendOfferMessage(id, attempt, worker, now);
+      SendOfferMessage(id, jobs_.at(attempt.task->job), worker, now);
     }
   }
 }
@@ -143,13 +144,11 @@
   for (const AttemptId& id : attempts) {
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) continue;
-    if (found->second.granted) {
-      if (granted_too) MarkInDoubt(id, why, now);
-      continue;
+    if (!found->second.granted()) {
+      TakeBack(id);
+    } else if (granted_too) {
+      MarkInDoubt(id, why, now);
     }
-    const TaskRef ref = found->second.task;
-    TakeBack(id);
-    ReturnTask(ref, now);
   }
 }
 
@@ -168,56 +167,60 @@
 
 // ---- grants
 
-bool Dispatcher::MayGrant(const Job& job, const Attempt& attempt) const {
-  const WorkerView* worker = workers_.Find(attempt.worker);
-  return fresh_ && job.claimed && worker != nullptr &&
+bool Dispatcher::MayGrantAt(const WorkerId& id) const {
+  const WorkerView* worker = workers_.Find(id);
+  return fresh_ && worker != nullptr &&
          configuration_.IsIn(worker->profile.data_centre);
 }
 
+// The task is chosen only now that a slot is held for it.
 void Dispatcher::GrantReady(const AttemptId& id, TimePoint now) {
-  const TaskRef ref = attempts_.at(id).task;
-  Job& job = jobs_.at(ref.job);
-  Task& task = job.tasks[ref.task];
-  const bool is_free = task.state == TaskState::kOffered;
-  if (!is_free || !MayGrant(job, attempts_.at(id))) {
+  const Attempt& attempt = attempts_.at(id);
+  const auto head = PeekWaiting(attempt.queue);
+  if (!head || !MayGrantAt(attempt.worker)) {
+    TakeBack(id);
+    return;
+  }
+  Job& job = jobs_.at(head->job);
+  if (!attempt.size.Holds(job.tasks[head->task].spec.size)) {
     TakeBack(id);
-    ReturnTask(ref, now);
     return;
   }
-  MarkGranted(job, task, id, now);
+  const TaskRef ref = PopWaiting(attempt.queue);
+  MarkGranted(job, ref.task, id, now);
   SendGrant(id, now);
-  WithdrawOthers(task, id);
 }
 
 void Dispatcher::SendGrant(const AttemptId& id, TimePoint now) {
   const Attempt& attempt = attempts_.at(id);
-  const Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
   const WorkerView* worker = workers_.Find(attempt.worker);
-  Note(EventKind::kGrantSent, now, attempt.task, &id, attempt.worker.value(),
-       "");
-  Send(*worker, Grant{id, task.spec.payload});
+  NoteAttempt(EventKind::kGrantSent, now, id, "");
+  Send(*worker, Grant{id, AssignmentOf(*attempt.task)});
 }
 
-void Dispatcher::MarkGranted(Job& job, Task& task, const AttemptId& id,
+void Dispatcher::MarkGranted(Job& job, std::uint32_t index, const AttemptId& id,
                              TimePoint now) {
+  Task& task = job.tasks[index];
+  Attempt& attempt = attempts_.at(id);
   const bool may_start = job.IsRepeatable() || !task.MayHaveRun();
   const Invariant invariant = job.kind == SubmissionKind::kJob
                                   ? Invariant::kStartsAtMostOnce
                                   : Invariant::kNonIdempotentOnce;
-  CheckInvariant(invariant, may_start, "second grant for " + ToString(job.id));
-  CheckInvariant(Invariant::kNoStartInDataCentreOut,
-                 MayGrant(job, attempts_.at(id)),
+  CheckInvariant(invariant, may_start && job.claimed,
+                 "second grant for " + ToString(job.id));
+  CheckInvariant(Invariant::kNoStartInDataCentreOut, MayGrantAt(attempt.worker),
                  "grant for " + ToString(job.id));
-  Attempt& attempt = attempts_.at(id);
-  attempt.granted = true;
-  attempt.granted_at = now;
+  CountOffer(attempt, -1);
   --workers_.Find(attempt.worker)->waiting;
+  attempt.task = TaskRef{job.id, index};
+  attempt.granted_at = now;
+  task.attempts.push_back(id);
   const bool is_first = task.grants_unanswered == 0 && !task.in_doubt;
   ++task.grants_unanswered;
   task.state = TaskState::kGranted;
   ++counters_.grants;
   AddTimer(now + job.service.timeout + kOverdueSlack, TimerKind::kOverdue,
-           attempt.task, id);
+           *attempt.task, id);
   if (!is_first) return;
   budget_.CountFirst();
   if (!options_.hedge || !job.IsRepeatable()) return;
@@ -225,14 +228,12 @@
       std::min(kHedgeUnknown, job.service.timeout / kQuantileTrustDivisor);
   const Duration usual = run_times_[job.service.name].P99(unknown);
   AddTimer(now + std::max(kHedgeFloor, usual + kHedgeSlack), TimerKind::kHedge,
-           attempt.task, id);
+           *attempt.task, id);
 }
 
-void Dispatcher::WithdrawOthers(Task& task, const AttemptId& kept) {
+void Dispatcher::TakeBackAll(const Task& task) {
   const std::vector<AttemptId> open = task.attempts;
-  for (const AttemptId& id : open) {
-    if (id != kept) TakeBack(id);
-  }
+  for (const AttemptId& id : open) TakeBack(id);
 }
 
 // Closes an attempt from this side. The worker is told, so that it does not
@@ -244,7 +245,7 @@
   ++counters_.withdrawn;
   const WorkerView* worker = workers_.Find(attempt->worker);
   if (worker == nullptr || !worker->link) return;
-  if (attempt->granted) {
+  if (attempt->granted()) {
     Send(*worker, Cancel{id});
   } else {
     Send(*worker, Withdraw{id});
@@ -257,13 +258,15 @@
   const Attempt attempt = found->second;
   attempts_.erase(found);
   WorkerView* worker = workers_.Find(attempt.worker);
-  if (worker != nullptr) {
-    worker->attempts.erase(id);
-    if (!attempt.granted) --worker->waiting;
+  if (worker != nullptr) worker->attempts.erase(id);
+  if (!attempt.granted()) {
+    CountOffer(attempt, -1);
+    if (worker != nullptr) --worker->waiting;
+    return attempt;
   }
-  Task& task = jobs_.at(attempt.task.job).tasks[attempt.task.task];
+  Task& task = jobs_.at(attempt.task->job).tasks[attempt.task->task];
   std::erase(task.attempts, id);
-  if (attempt.granted) --task.grants_unanswered;
+  --task.grants_unanswered;
   return attempt;
 }
 
@@ -296,8 +299,8 @@
 
 void Dispatcher::TakeResult(const Attempt& attempt, const TaskResult& result,
                             TimePoint now) {
-  Job& job = jobs_.at(attempt.task.job);
-  Task& task = job.tasks[attempt.task.task];
+  Job& job = jobs_.at(attempt.task->job);
+  Task& task = job.tasks[attempt.task->task];
   const TaskOutcome& outcome = result.outcome;
   task.has_run = true;
   const bool succeeded = outcome.status == TaskStatus::kSucceeded;
@@ -317,7 +320,7 @@
   if (task.state == TaskState::kDone) return;
   if (is_workers_fault && job.IsRepeatable()) {
     if (!task.attempts.empty()) return;
-    if (Repeat(job, attempt.task.task, now)) return;
+    if (Repeat(job, attempt.task->task, now)) return;
   }
   FinishTask(job, task, outcome);
   AnswerIfDone(job, now);
@@ -338,16 +341,15 @@
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
   const Attempt attempt = found->second;
-  Job& job = jobs_.at(attempt.task.job);
-  Task& task = job.tasks[attempt.task.task];
+  Job& job = jobs_.at(attempt.task->job);
+  Task& task = job.tasks[attempt.task->task];
   task.in_doubt = true;
   ++counters_.in_doubt;
-  Note(EventKind::kInDoubt, now, attempt.task, &id, attempt.worker.value(),
-       why);
+  NoteAttempt(EventKind::kInDoubt, now, id, why);
   TakeBack(id);
   if (job.IsRepeatable()) {
     if (!task.attempts.empty()) return;
-    if (Repeat(job, attempt.task.task, now)) return;
+    if (Repeat(job, attempt.task->task, now)) return;
   }
   Error error{ErrorCode::kInDoubt, "run", attempt.worker.value(), why,
               Execution::kMayHaveRun};
@@ -364,7 +366,7 @@
   task.outcome = std::move(outcome);
   task.state = TaskState::kDone;
   --job.open;
-  WithdrawOthers(task, AttemptId{});
+  TakeBackAll(task);
   if (!failed || job.kind != SubmissionKind::kJob || job.open == 0) return;
   // A job with a failed task cannot become complete: what has not been granted
   // is dropped, and what runs is waited for, so that its outcome is known.
@@ -375,9 +377,7 @@
 
 void Dispatcher::DropUnstarted(Job& job, const Error& reason) {
   for (Task& task : job.tasks) {
-    const bool is_unstarted =
-        task.state == TaskState::kWaiting || task.state == TaskState::kOffered;
-    if (is_unstarted) DropTask(job, task, reason);
+    if (task.state == TaskState::kWaiting) DropTask(job, task, reason);
   }
 }
 
@@ -389,10 +389,11 @@
   const bool not_run = reason.execution == Execution::kNotRun;
   CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
                  "dropped task of " + ToString(job.id));
+  Unqueue(job, task);
   task.outcome = TaskOutcome::Failure(std::move(reason));
   task.state = TaskState::kDone;
   --job.open;
-  WithdrawOthers(task, AttemptId{});
+  TakeBackAll(task);
 }
 
 void Dispatcher::AnswerIfDone(Job& job, TimePoint now) {
@@ -454,44 +455,43 @@
 }
 
 void Dispatcher::Fire(const Timer& timer, TimePoint now) {
-  Job* job = FindMutableJob(timer.task.job);
-  if (job == nullptr) return;
-  if (timer.kind == TimerKind::kDeadline) {
-    CancelJob(job->id,
-              Refusal(ErrorCode::kDeadline, "run", "the deadline passed"), now);
-    return;
-  }
-  if (timer.kind == TimerKind::kRequeue) {
-    const Task& task = job->tasks[timer.task.task];
-    if (task.state == TaskState::kWaiting) {
-      Enqueue(*job, timer.task.task, true);
-    }
-    return;
-  }
-  if (timer.kind == TimerKind::kHedge) {
-    FireHedge(timer, now);
-    return;
-  }
   const auto found = attempts_.find(timer.attempt);
-  if (found == attempts_.end()) return;
-  if (timer.kind == TimerKind::kOverdue) {
-    MarkInDoubt(timer.attempt, "no answer in time", now);
-    return;
+  const bool is_open = found != attempts_.end();
+  switch (timer.kind) {
+    case TimerKind::kDeadline:
+      CancelJob(timer.task.job,
+                Refusal(ErrorCode::kDeadline, "run", "the deadline passed"),
+                now);
+      break;
+    case TimerKind::kRequeue:
+      FireRequeue(timer.task);
+      break;
+    case TimerKind::kHedge:
+      if (is_open && fresh_) FireHedge(timer, now);
+      break;
+    case TimerKind::kOverdue:
+      if (is_open) MarkInDoubt(timer.attempt, "no answer in time", now);
+      break;
+    case TimerKind::kUnacknowledged:
+      if (is_open && !found->second.acknowledged) TakeBack(timer.attempt);
+      break;
   }
-  if (found->second.acknowledged || found->second.granted) return;
-  const TaskRef ref = found->second.task;
-  TakeBack(timer.attempt);
-  ReturnTask(ref, now);
+}
+
+void Dispatcher::FireRequeue(const TaskRef& ref) {
+  Job* job = FindMutableJob(ref.job);
+  if (job == nullptr) return;
+  const Task& task = job->tasks[ref.task];
+  const bool waits = task.state == TaskState::kWaiting && !task.queued;
+  if (waits) Enqueue(*job, ref.task, true);
 }
 
 void Dispatcher::FireHedge(const Timer& timer, TimePoint now) {
-  const auto found = attempts_.find(timer.attempt);
-  if (found == attempts_.end() || !fresh_) return;
   Job& job = jobs_.at(timer.task.job);
-  Task& task = job.tasks[timer.task.task];
+  const Task& task = job.tasks[timer.task.task];
   if (task.attempts.size() >= kMostAttempts) return;
   WorkerQuery query = QueryFor(job, task);
-  query.other_than = found->second.worker;
+  query.other_than = attempts_.at(timer.attempt).worker;
   query.needs_free_slot = true;
   WorkerView* worker = workers_.Choose(
       query, [](int slots) { return slots; }, now);
@@ -501,7 +501,7 @@
   }
   if (!budget_.Spend()) return;
   ++counters_.hedges;
-  SendOffer(job, timer.task.task, *worker, now);
+  SendGrantedOffer(timer.task, *worker, now);
 }
 
 // A silent worker keeps what it may have started; what it surely has not is
--- a/src/entry/dispatcher_offers.cc
+++ b/src/entry/dispatcher_offers.cc
@@ -7,114 +7,153 @@
 namespace {
 
 constexpr Duration kAckTimeout{100};
-constexpr Duration kReofferUrgent{5};
-constexpr Duration kReofferOthers{30};
-constexpr std::size_t kMostOffersLookedAt = 8;
-constexpr std::size_t kMostAttempts = 2;
 
 }  // namespace
 
-void Dispatcher::Enqueue(const Job& job, std::uint32_t task, bool at_front) {
-  FairQueue& queue = queues_[{job.task_class, job.service.name}];
-  const TaskRef ref{job.id, task};
+// ---- queues
+
+void Dispatcher::Enqueue(Job& job, std::uint32_t index, bool at_front) {
+  FairQueue& queue = queues_[KeyOf(job)].tasks;
+  const TaskRef ref{job.id, index};
   if (at_front) {
     queue.PushFront(job.team, job.weight, ref);
   } else {
     queue.PushBack(job.team, job.weight, ref);
   }
-  ++waiting_by_class_[static_cast<std::size_t>(job.task_class)];
-  ++waiting_tasks_;
+  job.tasks[index].queued = true;
+  CountWaiting(job, 1);
+}
+
+void Dispatcher::EnqueueAll(Job& job) {
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) Enqueue(job, i, false);
+}
+
+// A task that is dropped stays in its queue and is passed over when it comes to
+// the head; it no longer counts.
+void Dispatcher::Unqueue(const Job& job, Task& task) {
+  if (!task.queued) return;
+  task.queued = false;
+  CountWaiting(job, -1);
+}
+
+void Dispatcher::CountWaiting(const Job& job, int change) {
+  const auto step = static_cast<std::size_t>(change);
+  queues_[KeyOf(job)].waiting += step;
+  waiting_by_class_[static_cast<std::size_t>(job.task_class)] += step;
+  waiting_tasks_ += step;
+}
+
+QueueKey Dispatcher::KeyOf(const Job& job) {
+  return QueueKey{job.task_class, job.service.name};
+}
+
+std::optional<TaskRef> Dispatcher::PeekWaiting(const QueueKey& key) {
+  FairQueue& queue = queues_[key].tasks;
+  while (const auto ref = queue.Peek()) {
+    const Job* job = FindJob(ref->job);
+    if (job != nullptr && job->tasks[ref->task].queued) return ref;
+    queue.Pop();
+  }
+  return std::nullopt;
+}
+
+TaskRef Dispatcher::PopWaiting(const QueueKey& key) {
+  const TaskRef ref = *PeekWaiting(key);
+  queues_[key].tasks.Pop();
+  Job& job = jobs_.at(ref.job);
+  Unqueue(job, job.tasks[ref.task]);
+  return ref;
 }
 
-std::optional<Dispatcher::QueueKey> Dispatcher::NextQueue(
+std::optional<QueueKey> Dispatcher::NextQueue(
     const std::set<QueueKey>& blocked) {
   ClassPicker::Waiting waiting{};
-  for (const auto& [key, queue] : queues_) {
-    if (queue.empty() || blocked.contains(key)) continue;
-    waiting[static_cast<std::size_t>(key.first)] = true;
+  const auto is_served = [&](const auto& item) {
+    return item.second.waiting > 0 && !blocked.contains(item.first);
+  };
+  for (const auto& item : queues_) {
+    if (!is_served(item)) continue;
+    waiting[static_cast<std::size_t>(item.first.task_class)] = true;
   }
   const auto task_class = picker_.Pick(waiting);
   if (!task_class) return std::nullopt;
   // The services of one class take turns.
   ServiceName& last = last_service_[static_cast<std::size_t>(*task_class)];
   const auto is_next = [&](const auto& item) {
-    return item.first.first == *task_class && !item.second.empty() &&
-           !blocked.contains(item.first);
+    return item.first.task_class == *task_class && is_served(item);
   };
-  auto found = std::find_if(queues_.upper_bound({*task_class, last}),
+  auto found = std::find_if(queues_.upper_bound(QueueKey{*task_class, last}),
                             queues_.end(), is_next);
   if (found == queues_.end()) {
     found = std::find_if(queues_.begin(), queues_.end(), is_next);
   }
-  last = found->first.second;
+  last = found->first.service;
   return found->first;
 }
 
+// ---- offers
+
 void Dispatcher::Pump(TimePoint now) {
   if (!fresh_ || waiting_tasks_ == 0) return;
   std::set<QueueKey> blocked;
   while (const auto key = NextQueue(blocked)) {
-    if (!OfferHead(*key, now)) blocked.insert(*key);
+    if (!OfferFor(*key, nullptr, now)) blocked.insert(*key);
   }
 }
 
 // After news from one worker, only that worker can take more than before.
 void Dispatcher::PumpWorker(WorkerView& worker, TimePoint now) {
-  if (!fresh_) return;
-  if (waiting_tasks_ > 0) {
-    std::set<QueueKey> blocked;
-    while (const auto key = NextQueue(blocked)) {
-      if (!OfferHeadTo(*key, worker, now)) blocked.insert(*key);
-    }
+  if (!fresh_ || waiting_tasks_ == 0) return;
+  std::set<QueueKey> blocked;
+  while (const auto key = NextQueue(blocked)) {
+    if (!OfferFor(*key, &worker, now)) blocked.insert(*key);
   }
-  OfferWaitingTo(worker, now);
 }
 
-std::optional<TaskRef> Dispatcher::PopWaiting(const QueueKey& key) {
-  FairQueue& queue = queues_[key];
-  while (const auto ref = queue.Pop()) {
-    --waiting_by_class_[static_cast<std::size_t>(key.first)];
-    --waiting_tasks_;
-    const Job* job = FindJob(ref->job);
-    if (job == nullptr) continue;
-    if (job->tasks[ref->task].state == TaskState::kWaiting) return ref;
+// Makes one more offer for a queue, to `only` if it is given. There are as many
+// offers as tasks that wait; but a free slot is offered to even if all tasks
+// have their offers at busy workers. Those that are left over then serve the
+// tasks that come next.
+bool Dispatcher::OfferFor(const QueueKey& key, WorkerView* only,
+                          TimePoint now) {
+  const auto head = PeekWaiting(key);
+  if (!head) return false;
+  const Queue& queue = queues_[key];
+  const Job& job = jobs_.at(head->job);
+  WorkerQuery query = QueryFor(job, job.tasks[head->task]);
+  WorkerView* worker = nullptr;
+  query.needs_free_slot = true;
+  if (queue.offers_to_free < queue.waiting)
+    worker = Find(query, job, only, now);
+  if (worker == nullptr && queue.offers < queue.waiting) {
+    query.needs_free_slot = false;
+    worker = Find(query, job, only, now);
   }
-  return std::nullopt;
-}
-
-void Dispatcher::PutBack(const TaskRef& ref) {
-  Enqueue(jobs_.at(ref.job), ref.task, true);
-}
-
-bool Dispatcher::OfferHead(const QueueKey& key, TimePoint now) {
-  const auto ref = PopWaiting(key);
-  if (!ref) return false;
-  Job& job = jobs_.at(ref->job);
-  WorkerView* worker = ChooseFor(job, job.tasks[ref->task], now);
-  if (worker == nullptr) {
-    PutBack(*ref);
-    return false;
+  if (worker == nullptr) return false;
+  const bool has_free_slot = worker->FreeSlots(key.task_class) > 0;
+  if (GrantsWithOffer(job, has_free_slot)) {
+    SendGrantedOffer(PopWaiting(key), *worker, now);
+  } else {
+    SendOffer(job, query.size, *worker, now);
   }
-  SendOffer(job, ref->task, *worker, now);
   return true;
 }
 
-bool Dispatcher::OfferHeadTo(const QueueKey& key, WorkerView& worker,
-                             TimePoint now) {
-  const auto& services = worker.profile.services;
-  if (std::ranges::count(services, key.second) == 0) return false;
-  const auto ref = PopWaiting(key);
-  if (!ref) return false;
-  Job& job = jobs_.at(ref->job);
-  const WorkerQuery query = QueryFor(job, job.tasks[ref->task]);
-  const int limit =
-      WaitingLimit(job.task_class, job.IsRepeatable(), worker.profile.slots);
-  if (worker.waiting >= limit || !workers_.Suits(worker, query, now)) {
-    PutBack(*ref);
-    return false;
-  }
-  SendOffer(job, ref->task, worker, now);
-  return true;
+WorkerView* Dispatcher::Find(const WorkerQuery& query, const Job& job,
+                             WorkerView* only, TimePoint now) {
+  const auto limit = [&](int slots) {
+    const TaskTraits traits{job.task_class, job.IsRepeatable()};
+    return std::visit(
+        [&](const auto& policy) { return policy.WaitingLimit(traits, slots); },
+        options_.policy);
+  };
+  if (only == nullptr) return workers_.Choose(query, limit, now);
+  const auto& services = only->profile.services;
+  const bool serves = std::ranges::count(services, query.service) > 0;
+  const bool has_room =
+      query.needs_free_slot || only->waiting < limit(only->profile.slots);
+  return serves && has_room && workers_.Suits(*only, query, now) ? only
+                                                                 : nullptr;
 }
 
 WorkerQuery Dispatcher::QueryFor(const Job& job, const Task& task) const {
@@ -129,119 +168,72 @@
   return query;
 }
 
-int Dispatcher::WaitingLimit(TaskClass task_class, bool repeatable,
-                             int slots) const {
-  const TaskTraits traits{task_class, repeatable};
-  return std::visit(
-      [&](const auto& policy) { return policy.WaitingLimit(traits, slots); },
-      options_.policy);
-}
-
-WorkerView* Dispatcher::ChooseFor(const Job& job, const Task& task,
-                                  TimePoint now) {
-  WorkerQuery query = QueryFor(job, task);
-  const auto limit = [&](int slots) {
-    return WaitingLimit(job.task_class, job.IsRepeatable(), slots);
-  };
-  query.needs_free_slot = true;
-  WorkerView* worker = workers_.Choose(query, limit, now);
-  if (worker != nullptr) return worker;
-  query.needs_free_slot = false;
-  return workers_.Choose(query, limit, now);
-}
-
-void Dispatcher::SendOffer(Job& job, std::uint32_t index, WorkerView& worker,
-                           TimePoint now) {
-  Task& task = job.tasks[index];
-  const AttemptId id{options_.incarnation, next_attempt_++};
-  const bool has_free_slot = worker.FreeSlots(job.task_class) > 0;
+bool Dispatcher::GrantsWithOffer(const Job& job, bool has_free_slot) const {
   const TaskTraits traits{job.task_class, job.IsRepeatable()};
-  const bool granted = std::visit(
+  return std::visit(
       [&](const auto& policy) {
         return policy.GrantsWithOffer(traits, has_free_slot);
       },
       options_.policy);
+}
+
+AttemptId Dispatcher::OpenAttempt(const Job& job, const Resources& size,
+                                  WorkerView& worker) {
+  const AttemptId id{options_.incarnation, next_attempt_++};
   Attempt& attempt = attempts_[id];
-  attempt.task = TaskRef{job.id, index};
+  attempt.queue = KeyOf(job);
+  attempt.size = size;
   attempt.worker = worker.profile.id;
-  attempt.sent = now;
-  task.attempts.push_back(id);
+  attempt.to_free_slot = worker.FreeSlots(job.task_class) > 0;
   worker.attempts.insert(id);
   ++worker.waiting;
+  CountOffer(attempt, 1);
   ++counters_.offers;
-  Note(EventKind::kOfferSent, now, attempt.task, &id, worker.profile.id.value(),
-       granted ? "granted" : "");
-  if (granted) {
-    MarkGranted(job, task, id, now);
-  } else {
-    if (task.state == TaskState::kWaiting) task.state = TaskState::kOffered;
-    AddTimer(now + kAckTimeout, TimerKind::kUnacknowledged, attempt.task, id);
-    offered_.emplace_back(now, attempt.task);
-  }
-  SendOfferMessage(id, attempt, worker, now);
+  return id;
 }
 
-void Dispatcher::SendOfferMessage(const AttemptId& id, const Attempt& attempt,
+void Dispatcher::CountOffer(const Attempt& attempt, int change) {
+  const auto step = static_cast<std::size_t>(change);
+  Queue& queue = queues_[attempt.queue];
+  queue.offers += step;
+  if (attempt.to_free_slot) queue.offers_to_free += step;
+}
+
+void Dispatcher::SendOffer(const Job& job, const Resources& size,
+                           WorkerView& worker, TimePoint now) {
+  const AttemptId id = OpenAttempt(job, size, worker);
+  NoteAttempt(EventKind::kOfferSent, now, id, "");
+  AddTimer(now + kAckTimeout, TimerKind::kUnacknowledged, TaskRef{}, id);
+  SendOfferMessage(id, job, worker, now);
+}
+
+void Dispatcher::SendGrantedOffer(const TaskRef& ref, WorkerView& worker,
+                                  TimePoint now) {
+  Job& job = jobs_.at(ref.job);
+  const AttemptId id = OpenAttempt(job, job.tasks[ref.task].spec.size, worker);
+  MarkGranted(job, ref.task, id, now);
+  NoteAttempt(EventKind::kOfferSent, now, id, "granted");
+  SendOfferMessage(id, job, worker, now);
+}
+
+void Dispatcher::SendOfferMessage(const AttemptId& id, const Job& job,
                                   WorkerView& worker, TimePoint now) {
-  const Job& job = jobs_.at(attempt.task.job);
-  const Task& task = job.tasks[attempt.task.task];
+  const Attempt& attempt = attempts_.at(id);
   Offer offer;
   offer.attempt = id;
-  offer.job = job.id;
-  offer.task = attempt.task.task;
   offer.service = job.service.name;
   offer.task_class = job.task_class;
   offer.time_left = job.deadline - now;
-  offer.size = task.spec.size;
+  offer.size = attempt.size;
   offer.repeatable = job.IsRepeatable();
-  offer.granted = attempt.granted;
-  if (attempt.granted) offer.payload = task.spec.payload;
+  if (attempt.granted()) offer.assignment = AssignmentOf(*attempt.task);
   ++worker.offers_sent;
   Send(worker, std::move(offer));
 }
 
-// A task that waits at a busy worker is offered to an idle one as well; the
-// first to be ready gets it.
-void Dispatcher::OfferWaitingTo(WorkerView& worker, TimePoint now) {
-  const bool reoffers =
-      std::visit([](const auto& policy) { return policy.ReoffersWaiting(); },
-                 options_.policy);
-  if (!reoffers || worker.FreeSlots(TaskClass::kUrgent) <= 0) return;
-  std::size_t looked_at = 0;
-  for (auto item = offered_.begin();
-       item != offered_.end() && looked_at < kMostOffersLookedAt; ++looked_at) {
-    const auto [since, ref] = *item;
-    if (now - since < kReofferUrgent) return;
-    const Job* job = FindJob(ref.job);
-    const bool stale =
-        job == nullptr || job->tasks[ref.task].state != TaskState::kOffered;
-    const bool is_young = !stale && job->task_class != TaskClass::kUrgent &&
-                          now - since < kReofferOthers;
-    if (stale || (!is_young && OfferSecond(ref, worker, now))) {
-      item = offered_.erase(item);
-    } else {
-      ++item;
-    }
-  }
-}
-
-bool Dispatcher::OfferSecond(const TaskRef& ref, WorkerView& worker,
-                             TimePoint now) {
-  Job& job = jobs_.at(ref.job);
-  const Task& task = job.tasks[ref.task];
-  if (task.attempts.size() >= kMostAttempts) return true;
-  const auto& services = worker.profile.services;
-  if (std::ranges::count(services, job.service.name) == 0) return false;
-  if (!task.attempts.empty()) {
-    const Attempt& first = attempts_.at(task.attempts.front());
-    if (first.worker == worker.profile.id) return false;
-  }
-  WorkerQuery query = QueryFor(job, task);
-  query.needs_free_slot = true;
-  if (!workers_.Suits(worker, query, now)) return false;
-  ++counters_.second_offers;
-  SendOffer(job, ref.task, worker, now);
-  return true;
+Assignment Dispatcher::AssignmentOf(const TaskRef& ref) const {
+  const Task& task = jobs_.at(ref.job).tasks[ref.task];
+  return Assignment{ref.job, ref.task, task.spec.payload};
 }
 
 }  // namespace geranium
--- a/src/entry/fair_queue.cc
+++ b/src/entry/fair_queue.cc
@@ -20,6 +20,11 @@
   ++size_;
 }
 
+std::optional<TaskRef> FairQueue::Peek() const {
+  if (round_.empty()) return std::nullopt;
+  return teams_.at(round_.front()).tasks.front();
+}
+
 std::optional<TaskRef> FairQueue::Pop() {
   if (round_.empty()) return std::nullopt;
   const TeamName name = round_.front();
--- a/src/entry/fair_queue.h
+++ b/src/entry/fair_queue.h
@@ -26,6 +26,8 @@
   /// Puts a task that was taken before back to the head of its team.
   void PushFront(const TeamName& team, int weight, TaskRef task);
   std::optional<TaskRef> Pop();
+  /// What `Pop` would take.
+  std::optional<TaskRef> Peek() const;
 
   bool empty() const { return size_ == 0; }
   std::size_t size() const { return size_; }
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -14,7 +14,6 @@
 
 enum class TaskState {
   kWaiting,  ///< At the entry.
-  kOffered,  ///< At one or two workers, without the right to start.
   kGranted,  ///< A worker may start it or has.
   kDone,
 };
@@ -23,7 +22,8 @@
 struct Task {
   TaskSpec spec;
   TaskState state = TaskState::kWaiting;
-  std::vector<AttemptId> attempts;  ///< Those that are still open.
+  bool queued = false;              ///< Waits in a queue, not for a timer.
+  std::vector<AttemptId> attempts;  ///< The granted ones that are open.
   int bounces = 0;                  ///< Times it came back not started.
   int grants_unanswered = 0;
   bool in_doubt = false;  ///< A grant will never be answered.
@@ -57,14 +57,26 @@
   }
 };
 
-/// One attempt at a task, as the entry remembers it while it is open.
+/// The queue that a task waits in.
+struct QueueKey {
+  TaskClass task_class = TaskClass::kNormal;
+  ServiceName service;
+
+  auto operator<=>(const QueueKey&) const = default;
+};
+
+/// One attempt at one worker, as the entry remembers it while it is open. It is
+/// an offer for whatever waits first in its queue, until it is granted a task.
 struct Attempt {
-  TaskRef task;
+  QueueKey queue;
+  Resources size;
+  std::optional<TaskRef> task;  ///< Once it is granted.
   WorkerId worker;
-  bool granted = false;
+  bool to_free_slot = false;  ///< An answer is expected at once.
   bool acknowledged = false;
-  TimePoint sent;
   TimePoint granted_at;
+
+  bool granted() const { return task.has_value(); }
 };
 
 }  // namespace geranium
--- a/src/entry/policy.h
+++ b/src/entry/policy.h
@@ -25,8 +25,6 @@
   { policy.WaitingLimit(traits, int{}) } -> std::convertible_to<int>;
   /// Whether the offer is the grant too, for a worker with free slots or not.
   { policy.GrantsWithOffer(traits, bool{}) } -> std::convertible_to<bool>;
-  /// Whether a waiting offer may be made to a second worker.
-  { policy.ReoffersWaiting() } -> std::convertible_to<bool>;
 };
 
 /// Offers to the better of two workers; grants when one of them is ready.
@@ -46,7 +44,6 @@
   bool GrantsWithOffer(const TaskTraits& traits, bool has_free_slot) const {
     return traits.repeatable && has_free_slot;
   }
-  bool ReoffersWaiting() const { return true; }
 };
 
 /// The baseline: pushes each task at once to the least loaded worker.
@@ -63,7 +60,6 @@
                        bool /*has_free_slot*/) const {
     return true;
   }
-  bool ReoffersWaiting() const { return false; }
 };
 
 static_assert(DispatchPolicy<LateBinding>);
--- a/src/entry/worker_table.cc
+++ b/src/entry/worker_table.cc
@@ -137,6 +137,7 @@
 bool WorkerTable::Suits(const WorkerView& worker, const WorkerQuery& query,
                         TimePoint now) const {
   if (query.other_than == worker.profile.id) return false;
+  if (now < worker.refused_until) return false;
   if (query.needs_free_slot && worker.FreeSlots(query.task_class) <= 0) {
     return false;
   }
--- a/src/entry/worker_table.h
+++ b/src/entry/worker_table.h
@@ -27,7 +27,9 @@
   WorkerLoad load;
   TimePoint heard;       ///< When the newest message came.
   TimePoint lost_since;  ///< When the link went down.
-  int waiting = 0;       ///< This entry's offers there that are not granted.
+  /// Takes no offers before.
+  TimePoint refused_until = TimePoint::Never();
+  int waiting = 0;  ///< This entry's offers there that are not granted.
   std::uint64_t offers_sent = 0;  ///< Over the present link.
   std::set<AttemptId> attempts;
   OutcomeRecord outcomes;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -114,24 +114,32 @@
   }
 };
 
-/// Asks an agent to queue an attempt. Gives no right to start it, unless
-/// `granted`; then the payload is included.
-struct Offer {
-  AttemptId attempt;
+/// The task that a worker has the right to start.
+struct Assignment {
   JobId job;
   std::uint32_t task = 0;
+  std::string payload;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(task)(payload);
+  }
+};
+
+/// Asks an agent to queue an attempt. Gives no right to start anything, unless
+/// it brings its assignment with it.
+struct Offer {
+  AttemptId attempt;
   ServiceName service;
   TaskClass task_class = TaskClass::kNormal;
   Duration time_left;
   Resources size;
   bool repeatable = false;  ///< The call may be repeated by the agent.
-  bool granted = false;
-  std::string payload;
+  std::optional<Assignment> assignment;
 
   template <class A>
   void Fields(A& a) {
-    a(attempt)(job)(
-        task)(service)(task_class)(time_left)(size)(repeatable)(granted)(payload);
+    a(attempt)(service)(task_class)(time_left)(size)(repeatable)(assignment);
   }
 };
 
@@ -159,14 +167,14 @@
   }
 };
 
-/// The right to start the attempt once.
+/// The right to start the attempt once, with the task that it is for.
 struct Grant {
   AttemptId attempt;
-  std::string payload;
+  Assignment assignment;
 
   template <class A>
   void Fields(A& a) {
-    a(attempt)(payload);
+    a(attempt)(assignment);
   }
 };
 
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -109,9 +109,6 @@
                   Count(counts.answers_failed), {{"state", "failed"}});
   builder.Counter("geranium_offers_total", "Offers sent to workers",
                   Count(counts.offers));
-  builder.Counter("geranium_second_offers_total",
-                  "Offers of a waiting task to a second worker",
-                  Count(counts.second_offers));
   builder.Counter("geranium_grants_total", "Rights to start given",
                   Count(counts.grants));
   builder.Counter("geranium_results_total", "Results received",
--- a/src/worker/agent_node.cc
+++ b/src/worker/agent_node.cc
@@ -45,7 +45,9 @@
   event.kind = kind;
   event.detail = std::move(detail);
   if (attempt != nullptr) {
-    event.job = attempt->offer.job;
+    if (attempt->offer.assignment) {
+      event.job = attempt->offer.assignment->job;
+    }
     event.attempt = attempt->offer.attempt;
     event.peer = ToString(attempt->offer.attempt.entry);
   }
@@ -89,7 +91,7 @@
   Note(EventKind::kLinkDown, now, nullptr, hello->name);
   std::vector<AttemptId> orphans;
   for (const auto& [id, attempt] : attempts_) {
-    if (id.entry != hello->incarnation || attempt.offer.granted) continue;
+    if (id.entry != hello->incarnation || attempt.offer.assignment) continue;
     if (attempt.state == State::kQueued) orphans.push_back(id);
   }
   for (const AttemptId& id : orphans) {
@@ -268,7 +270,7 @@
     queue_.Add(*id, attempt.offer.task_class, attempt.deadline);
     return false;
   }
-  if (attempt.offer.granted) {
+  if (attempt.offer.assignment) {
     Start(attempt, now);
   } else {
     HoldSlot(attempt, now);
@@ -319,7 +321,7 @@
     DropUnstarted(grant.attempt, *closed, now);
     return;
   }
-  attempt.offer.payload = grant.payload;
+  attempt.offer.assignment = grant.assignment;
   Note(EventKind::kGrantReceived, now, &attempt, "");
   --holding_;
   in_use_ -= attempt.offer.size;
@@ -351,11 +353,11 @@
       gate_.configuration().FindService(attempt.offer.service);
   StartCall call;
   call.attempt = id;
-  call.job = attempt.offer.job;
-  call.task = attempt.offer.task;
+  call.job = attempt.offer.assignment->job;
+  call.task = attempt.offer.assignment->task;
   call.path = spec == nullptr ? "/" : spec->path;
   call.timeout = spec == nullptr ? ServiceSpec().timeout : spec->timeout;
-  call.payload = std::exchange(attempt.offer.payload, {});
+  call.payload = std::exchange(attempt.offer.assignment->payload, {});
   call.repeatable = attempt.offer.repeatable;
   monitor_.CallStarted(id, attempt.offer.service, call.timeout, now);
   Note(EventKind::kCallStarted, now, &attempt, attempt.offer.service.value());
@@ -459,8 +461,8 @@
                        TimePoint now) {
   TaskResult result;
   result.attempt = attempt.offer.attempt;
-  result.job = attempt.offer.job;
-  result.task = attempt.offer.task;
+  result.job = attempt.offer.assignment->job;
+  result.task = attempt.offer.assignment->task;
   result.run_time = now - attempt.started;
   result.unreachable = report.end == CallEnd::kNoAnswer;
   TaskOutcome& outcome = result.outcome;
