Report only the free slots that work of a class may use

Cause: at 120 % load agents' queues were full and 1659 offers of 4991 came back unstarted: a worker told of one free slot too many while it kept one for urgent work, and offers to free slots were not bounded. Change: the reserve is taken off what is told; offers are bounded by the waiting limit and the free slots. Work done is read from results within the run.

--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -45,6 +45,7 @@
   std::uint64_t grants = 0;
   std::uint64_t results = 0;
   std::uint64_t late_results = 0;
+  std::uint64_t run_ms = 0;  ///< Time that backend servers took for results.
   std::uint64_t not_started = 0;
   std::uint64_t withdrawn = 0;
   std::uint64_t hedges = 0;
--- a/src/entry/dispatcher_attempts.cc
+++ b/src/entry/dispatcher_attempts.cc
@@ -73,6 +73,7 @@
 void Dispatcher::On(LinkId link, const TaskResult& result, TimePoint now) {
   WorkerView* worker = Heard(link, result.load, now);
   ++counters_.results;
+  counters_.run_ms += static_cast<std::uint64_t>(result.run_time.ms());
   if (worker != nullptr) {
     Send(*worker, ResultAck{result.attempt});
   }
--- a/src/entry/dispatcher_offers.cc
+++ b/src/entry/dispatcher_offers.cc
@@ -151,7 +151,7 @@
   const auto& services = only->profile.services;
   const bool serves = std::ranges::count(services, query.service) > 0;
   const bool has_room =
-      query.needs_free_slot || only->waiting < limit(only->profile.slots);
+      only->HasRoom(query.task_class, limit(only->profile.slots));
   return serves && has_room && workers_.Suits(*only, query, now) ? only
                                                                  : nullptr;
 }
--- a/src/entry/worker_table.h
+++ b/src/entry/worker_table.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_ENTRY_WORKER_TABLE_H_
 #define GERANIUM_ENTRY_WORKER_TABLE_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,6 +44,11 @@
     const bool urgent = task_class == TaskClass::kUrgent;
     return (urgent ? load.urgent_free_slots : load.free_slots) - Unreported();
   }
+  /// True if one more offer may be made, with `limit` of them waiting for a
+  /// slot besides those for which a slot is free.
+  bool HasRoom(TaskClass task_class, int limit) const {
+    return waiting < limit + std::max(0, FreeSlots(task_class));
+  }
   /// Work there per slot.
   double Pressure() const;
 };
@@ -119,7 +125,9 @@
     for (std::size_t i = 0; i < probes && seen < query.choices; ++i) {
       WorkerView& worker = *candidates[(first + i * stride) % count];
       if (!Suits(worker, query, now)) continue;
-      if (worker.waiting >= limit(worker.profile.slots)) continue;
+      if (!worker.HasRoom(query.task_class, limit(worker.profile.slots))) {
+        continue;
+      }
       ++seen;
       if (best == nullptr || worker.Pressure() < best->Pressure()) {
         best = &worker;
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -35,6 +35,7 @@
   double messages = 0;
   double wasted = 0;
   double grants = 0;
+  double run_seconds = 0;
   double cpu_seconds = 0;
   double hedges = 0;
   double in_doubt = 0;
@@ -45,7 +46,7 @@
   std::array<KindReport, kWorkKinds> kinds;
   EntryDeltas entries;
   double offered_slots = 0;
-  double work_done_slots = 0;
+  double work_done_slots = 0;  ///< Within the run, in slots.
   /// Work of complete answers in each second, in slots.
   std::vector<double> work_by_second;
 
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -78,6 +78,8 @@
   const auto seconds =
       static_cast<std::size_t>((options_.length.ms() + 999) / 1000 + 60);
   report_.work_by_second.assign(seconds, 0);
+  ReadRunSecondsAt(options_.warm_up, run_seconds_at_begin_);
+  ReadRunSecondsAt(options_.warm_up + options_.length, run_seconds_at_end_);
   ScheduleNext();
   io_.run();
   const EntryDeltas after = ReadEntries();
@@ -196,6 +198,24 @@
   }
 }
 
+// Read while the load goes on, so that what is finished later does not count.
+void LoadRun::ReadRunSecondsAt(Duration after, double& sum) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      io_, std::chrono::milliseconds(after.ms()));
+  timer->async_wait([this, timer, &sum](const auto& error) {
+    if (error) return;
+    for (const std::string& address : options_.entries) {
+      HttpCall call;
+      call.address = address;
+      call.target = "/metrics";
+      call.on_fresh_connection = true;
+      http_.Start(std::move(call), [&sum](const HttpOutcome& outcome) {
+        sum += MetricSum(outcome.response.body, "geranium_run_seconds_total");
+      });
+    }
+  });
+}
+
 EntryDeltas LoadRun::ReadEntries() const {
   EntryDeltas sums;
   for (const std::string& address : options_.entries) {
@@ -207,6 +227,7 @@
                      MetricSum(text, "geranium_task_messages_received_total");
     sums.wasted += MetricSum(text, "geranium_task_messages_wasted_total");
     sums.grants += MetricSum(text, "geranium_grants_total");
+    sums.run_seconds += MetricSum(text, "geranium_run_seconds_total");
     sums.cpu_seconds += MetricSum(text, "process_cpu_seconds_total");
     sums.hedges += MetricSum(text, "geranium_hedges_total");
     sums.in_doubt += MetricSum(text, "geranium_in_doubt_total");
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -40,6 +40,7 @@
                 const HttpOutcome& outcome);
   void CountComplete(const WorkItem& item, double sent_ms, KindReport& report);
   EntryDeltas ReadEntries() const;
+  void ReadRunSecondsAt(Duration after, double& sum);
 
   LoadOptions options_;
   Workload workload_;
@@ -50,6 +51,8 @@
   double next_ms_ = 0;
   std::size_t next_entry_ = 0;
   std::size_t outstanding_ = 0;
+  double run_seconds_at_begin_ = 0;
+  double run_seconds_at_end_ = 0;
   LoadReport report_;
 };
 
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -113,6 +113,9 @@
                   Count(counts.grants));
   builder.Counter("geranium_results_total", "Results received",
                   Count(counts.results));
+  builder.Counter("geranium_run_seconds_total",
+                  "Time that backend servers took, by the results, in seconds",
+                  Count(counts.run_ms) / 1000);
   builder.Counter("geranium_late_results_total",
                   "Results for attempts that were closed",
                   Count(counts.late_results));
--- a/src/worker/agent_node.cc
+++ b/src/worker/agent_node.cc
@@ -248,9 +248,13 @@
 // While urgent work comes in, the last slots are kept for it: a slot that
 // frees on one worker is rarer than the wait that urgent work can bear.
 bool AgentNode::SlotsOnlyForUrgent(TimePoint now) const {
-  if (options_.profile.slots < kLeastSlotsForReserve) return false;
-  if (now - last_urgent_ > kUrgentMemory) return false;
-  return FreeSlots() <= options_.urgent_reserve;
+  return FreeSlots() <= Reserve(now);
+}
+
+int AgentNode::Reserve(TimePoint now) const {
+  if (options_.profile.slots < kLeastSlotsForReserve) return 0;
+  if (now - last_urgent_ > kUrgentMemory) return 0;
+  return options_.urgent_reserve;
 }
 
 void AgentNode::ServeQueue(TimePoint now) {
@@ -617,7 +621,7 @@
 WorkerLoad AgentNode::Load(std::optional<LinkId> link, TimePoint now) const {
   WorkerLoad load;
   load.urgent_free_slots = FreeSlots();
-  load.free_slots = SlotsOnlyForUrgent(now) ? 0 : FreeSlots();
+  load.free_slots = std::max(0, FreeSlots() - Reserve(now));
   if (link) {
     const auto peer = peers_.find(*link);
     if (peer != peers_.end()) load.offers_seen = peer->second.offers_seen;
--- a/src/worker/agent_node.h
+++ b/src/worker/agent_node.h
@@ -148,6 +148,7 @@
   template <class Typed>
   void SendToEntry(Incarnation entry, Typed message, TimePoint now);
   bool SlotsOnlyForUrgent(TimePoint now) const;
+  int Reserve(TimePoint now) const;
   int FreeSlots() const;
   Duration ExpectedWait() const;
   Error Reason(ErrorCode code, std::string step, std::string message) const;
