--- /dev/null
+++ b/src/timeline/time_line.cc
@@ -0,0 +1,203 @@
+#include "timeline/time_line.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <queue>
+#include <set>
+
+#include "runtime/http_client.h"
+
+namespace geranium {
+namespace {
+
+using Json = nlohmann::json;
+
+// The steps of an attempt, each caused by the one before it.
+constexpr std::array<std::string_view, 9> kSteps = {
+    "offer_sent",     "offer_received", "ready_sent",
+    "ready_received", "grant_sent",     "grant_received",
+    "call_started",   "call_ended",     "result_received"};
+
+Json FetchJson(const std::string& address, const std::string& target) {
+  HttpCall call;
+  call.address = address;
+  call.target = target;
+  const HttpOutcome outcome = Fetch(call);
+  if (outcome.failure != HttpFailure::kNone) return nullptr;
+  return Json::parse(outcome.response.body, nullptr, false);
+}
+
+// What has to be added to a process's clock, by its name. Entries know the
+// offsets of the processes linked to them; the first entry's clock is taken.
+std::map<std::string, double> Corrections(const std::vector<Json>& streams) {
+  std::map<std::string, double> corrections;
+  for (const Json& stream : streams) {
+    const auto own = stream.at("process").get<std::string>();
+    if (corrections.empty()) corrections[own] = 0;
+    if (!corrections.contains(own)) continue;
+    for (const auto& [name, offset] : stream.at("clock_offsets_ms").items()) {
+      corrections.emplace(name, corrections[own] - offset.get<double>());
+    }
+  }
+  return corrections;
+}
+
+PlacedEvent Place(const Json& stream, const Json& json, double correction) {
+  PlacedEvent event;
+  event.at_ms = json.at("at_ms").get<double>() + correction;
+  event.process = stream.at("process").get<std::string>();
+  event.data_centre = stream.at("data_centre").get<std::string>();
+  event.sequence = json.at("sequence").get<std::uint64_t>();
+  event.kind = json.at("kind").get<std::string>();
+  event.job = json.value("job", "");
+  event.attempt = json.value("attempt", "");
+  event.peer = json.value("peer", "");
+  event.detail = json.value("detail", "");
+  return event;
+}
+
+/// Which events have to come before which.
+class Causes {
+ public:
+  explicit Causes(const std::vector<PlacedEvent>& events)
+      : after_(events.size()), causes_(events.size(), 0) {
+    LinkProcesses(events);
+    LinkAttempts(events);
+  }
+
+  const std::vector<std::size_t>& after(std::size_t event) const {
+    return after_[event];
+  }
+  /// Counts one cause of `event` as placed; true if it was the last.
+  bool Release(std::size_t event) { return --causes_[event] == 0; }
+  bool IsFree(std::size_t event) const { return causes_[event] == 0; }
+
+ private:
+  void Add(std::size_t cause, std::size_t effect) {
+    after_[cause].push_back(effect);
+    ++causes_[effect];
+  }
+
+  // Events come process by process, each in its own order.
+  void LinkProcesses(const std::vector<PlacedEvent>& events) {
+    for (std::size_t i = 1; i < events.size(); ++i) {
+      if (events[i].process == events[i - 1].process) Add(i - 1, i);
+    }
+  }
+
+  void LinkAttempts(const std::vector<PlacedEvent>& events) {
+    std::map<std::string, std::map<std::size_t, std::size_t>> attempts;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+      if (events[i].attempt.empty()) continue;
+      const auto step = std::ranges::find(kSteps, events[i].kind);
+      if (step == kSteps.end()) continue;
+      attempts[events[i].attempt].emplace(
+          static_cast<std::size_t>(step - kSteps.begin()), i);
+    }
+    for (const auto& [attempt, steps] : attempts) {
+      for (auto item = std::next(steps.begin()); item != steps.end(); ++item) {
+        const std::size_t cause = std::prev(item)->second;
+        if (events[cause].process != events[item->second].process) {
+          Add(cause, item->second);
+        }
+      }
+    }
+  }
+
+  std::vector<std::vector<std::size_t>> after_;
+  std::vector<std::size_t> causes_;
+};
+
+}  // namespace
+
+std::vector<Json> FetchStreams(const std::vector<std::string>& entries,
+                               std::vector<std::string>& missing) {
+  std::vector<Json> streams;
+  std::set<std::string> agents;
+  for (const std::string& address : entries) {
+    const Json status = FetchJson(address, "/v1/operator/status");
+    const Json stream = FetchJson(address, "/v1/operator/events");
+    if (!stream.is_object() || !status.is_object()) {
+      missing.push_back(address);
+      continue;
+    }
+    streams.push_back(stream);
+    for (const Json& worker : status.at("workers")) {
+      agents.insert(worker.at("http_address").get<std::string>());
+    }
+  }
+  for (const std::string& address : agents) {
+    const Json stream = FetchJson(address, "/v1/operator/events");
+    if (stream.is_object()) {
+      streams.push_back(stream);
+    } else {
+      missing.push_back(address);
+    }
+  }
+  return streams;
+}
+
+// The earliest event whose causes are all placed comes next; if its clock puts
+// it before a cause, it is moved to the cause's time.
+std::vector<PlacedEvent> Merge(const std::vector<Json>& streams) {
+  const auto corrections = Corrections(streams);
+  std::vector<PlacedEvent> events;
+  for (const Json& stream : streams) {
+    const auto found =
+        corrections.find(stream.at("process").get<std::string>());
+    const double correction = found == corrections.end() ? 0 : found->second;
+    for (const Json& json : stream.at("events")) {
+      events.push_back(Place(stream, json, correction));
+    }
+  }
+  Causes causes(events);
+  using Item = std::pair<double, std::size_t>;
+  std::priority_queue<Item, std::vector<Item>, std::greater<>> free;
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    if (causes.IsFree(i)) free.emplace(events[i].at_ms, i);
+  }
+  std::vector<PlacedEvent> merged;
+  while (!free.empty()) {
+    const auto [at_ms, index] = free.top();
+    free.pop();
+    for (const std::size_t effect : causes.after(index)) {
+      events[effect].at_ms = std::max(events[effect].at_ms, at_ms);
+      if (causes.Release(effect)) free.emplace(events[effect].at_ms, effect);
+    }
+    merged.push_back(events[index]);
+  }
+  return merged;
+}
+
+bool Matches(const PlacedEvent& event, const TimeLineFilter& filter) {
+  const bool job = filter.job.empty() || event.job == filter.job;
+  const bool process = filter.process.empty() ||
+                       event.process == filter.process ||
+                       event.peer == filter.process;
+  const bool centre =
+      filter.data_centre.empty() || event.data_centre == filter.data_centre;
+  return job && process && centre;
+}
+
+std::string ToText(const PlacedEvent& event) {
+  char head[128];
+  std::snprintf(head, sizeof head, "%12.0f  %-12s  %-16s", event.at_ms,
+                event.process.c_str(), event.kind.c_str());
+  std::string text = head;
+  if (!event.job.empty()) text += "  job " + event.job;
+  if (!event.attempt.empty()) text += "  attempt " + event.attempt;
+  if (!event.peer.empty()) text += "  at " + event.peer;
+  if (!event.detail.empty()) text += "  (" + event.detail + ")";
+  return text;
+}
+
+Json ToJson(const PlacedEvent& event) {
+  return {{"at_ms", event.at_ms},      {"process", event.process},
+          {"kind", event.kind},        {"data_centre", event.data_centre},
+          {"job", event.job},          {"attempt", event.attempt},
+          {"peer", event.peer},        {"detail", event.detail},
+          {"sequence", event.sequence}};
+}
+
+}  // namespace geranium
