--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -222,12 +222,12 @@
   }
 
   void FaultBackend() {
-    static const std::vector<std::pair<BackendFault, std::string>> kFaults = {
+    static const std::vector<std::pair<BackendFault, std::string>> choices = {
         {BackendFault::kFrozen, "backend frozen"},
         {BackendFault::kFails, "backend fails"},
         {BackendFault::kRefuses, "backend refuses"},
         {BackendFault::kStraggles, "backend straggles"}};
-    const auto& [fault, name] = kFaults[random().Below(kFaults.size())];
+    const auto& [fault, name] = choices[random().Below(choices.size())];
     const std::size_t agent = AnyAgent();
     world_.SetBackend(agent, fault);
     For(name, Span(200, 6000),
