Take a late aborted call as a sign after few answers too

Change: with few answers the largest time seen is the usual one for such a call. Before: the new test failed.

--- a/src/base/quantile_window.cc
+++ b/src/base/quantile_window.cc
@@ -20,6 +20,12 @@
   return samples_.size() < kLeastSamples ? fallback : p99_;
 }
 
+Duration QuantileWindow::Usual(Duration fallback) const {
+  if (samples_.empty()) return fallback;
+  if (samples_.size() >= kLeastSamples) return p99_;
+  return *std::max_element(samples_.begin(), samples_.end());
+}
+
 void QuantileWindow::Refresh() {
   since_refresh_ = 0;
   std::vector<Duration> sorted = samples_;
--- a/src/base/quantile_window.h
+++ b/src/base/quantile_window.h
@@ -18,6 +18,9 @@
   /// The percentile, or `fallback` with too few samples.
   Duration P99(Duration fallback) const;
 
+  /// The percentile; with too few samples the largest, with none `fallback`.
+  Duration Usual(Duration fallback) const;
+
  private:
   static constexpr std::size_t kWindow = 512;
   static constexpr std::size_t kRefreshEvery = 16;
--- a/src/worker/backend_monitor.cc
+++ b/src/worker/backend_monitor.cc
@@ -46,7 +46,8 @@
 // cancelled early says nothing.
 void BackendMonitor::Abort(const AttemptId& attempt, TimePoint now) {
   Call& call = calls_.at(attempt);
-  if (now - call.started > UsualTime(call)) {
+  const Duration usual = run_times_[call.service].Usual(call.timeout);
+  if (now - call.started > usual) {
     call.aborted = true;
   } else {
     calls_.erase(attempt);
--- /dev/null
+++ b/tests/backend_monitor_test.cc
@@ -0,0 +1,54 @@
+#include "worker/backend_monitor.h"
+
+#include <catch2/catch.hpp>
+
+namespace geranium {
+namespace {
+
+class BackendMonitorTest {
+ protected:
+  AttemptId Start() {
+    const AttemptId id{Incarnation(1), ++number_};
+    monitor_.CallStarted(id, lookup_, timeout_, now_);
+    return id;
+  }
+
+  void Answer(int calls) {
+    for (int i = 0; i < calls; ++i) {
+      const AttemptId id = Start();
+      now_ = now_ + Duration(20);
+      monitor_.CallEnded(id, CallEnd::kAnswered, now_);
+    }
+  }
+
+  const ServiceName lookup_{"lookup"};
+  const Duration timeout_{3000};
+  BackendMonitor monitor_;
+  TimePoint now_{1000};
+  std::uint64_t number_ = 0;
+};
+
+TEST_CASE_METHOD(
+    BackendMonitorTest,
+    "BackendMonitor late aborted call after few answers is a sign") {
+  Answer(10);
+  const AttemptId late = Start();
+  now_ = now_ + Duration(70);
+  monitor_.CallEnded(late, CallEnd::kAborted, now_);
+  now_ = now_ + timeout_;
+  CHECK(monitor_.Tick(now_));
+  CHECK(monitor_.health() == BackendHealth::kQuiet);
+}
+
+TEST_CASE_METHOD(BackendMonitorTest,
+                 "BackendMonitor early cancelled call says nothing") {
+  Answer(30);
+  const AttemptId early = Start();
+  now_ = now_ + Duration(5);
+  monitor_.CallEnded(early, CallEnd::kAborted, now_);
+  now_ = now_ + timeout_;
+  CHECK_FALSE(monitor_.Tick(now_));
+}
+
+}  // namespace
+}  // namespace geranium
