--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,10 +1,10 @@
 #ifndef GERANIUM_BASE_CLOCK_H_
 #define GERANIUM_BASE_CLOCK_H_
 
-#include <chrono>
 #include <compare>
 #include <concepts>
 #include <cstdint>
+#include <ctime>
 #include <limits>
 
 namespace geranium {
@@ -70,23 +70,28 @@
   { clock.Now() } -> std::same_as<TimePoint>;
 };
 
-/// The process's monotonic clock.
+/// The process's clock. It also counts the time during which the machine was
+/// suspended, so that leases and freshness have run out on waking.
 class SystemClock {
  public:
   TimePoint Now() const {
-    return TimePoint(Count<std::chrono::milliseconds>());
+    const timespec time = Read();
+    return TimePoint(std::int64_t{time.tv_sec} * 1000 +
+                     time.tv_nsec / 1'000'000);
   }
 
   /// The same clock in fractions of a millisecond, for measurements.
   static double PreciseMs() {
-    return static_cast<double>(Count<std::chrono::microseconds>()) / 1000.0;
+    const timespec time = Read();
+    return static_cast<double>(time.tv_sec) * 1000.0 +
+           static_cast<double>(time.tv_nsec) / 1'000'000.0;
   }
 
  private:
-  template <class Unit>
-  static std::int64_t Count() {
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Unit>(since).count();
+  static timespec Read() {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time;
   }
 };
 
--- /dev/null
+++ b/src/base/log_note.h
@@ -0,0 +1,23 @@
+#ifndef GERANIUM_BASE_LOG_NOTE_H_
+#define GERANIUM_BASE_LOG_NOTE_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace geranium {
+
+enum class LogLevel { kInfo, kWarning, kError };
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// A log line that a decision asks for: a fixed event name and what varies.
+struct LogNote {
+  LogLevel level = LogLevel::kInfo;
+  std::string event;
+  LogFields fields;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_BASE_LOG_NOTE_H_
--- /dev/null
+++ b/src/contract/operator_record.h
@@ -0,0 +1,48 @@
+#ifndef GERANIUM_CONTRACT_OPERATOR_RECORD_H_
+#define GERANIUM_CONTRACT_OPERATOR_RECORD_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "contract/route_table.h"
+
+namespace geranium {
+
+/// The operator takes a data centre out, or back in.
+struct DataCentreChange {
+  DataCentreName name;
+  bool out = false;
+};
+
+/// A record that this program does not act on, or cannot read.
+struct IgnoredRecord {
+  std::string key;
+  std::string why;
+};
+
+/// One record of the operator's log.
+struct OperatorRecord {
+  LogOffset offset;
+  std::variant<RouteTable, DataCentreChange, IgnoredRecord> content;
+};
+
+/// What one read of the log after an offset brought.
+struct OperatorRecords {
+  std::vector<OperatorRecord> records;
+  LogOffset end;  ///< One past the newest record of the log.
+  bool expired = false;  ///< The offset asked for is no longer kept.
+};
+
+/// One page of the newest record of each key.
+struct NewestRecords {
+  std::vector<OperatorRecord> records;
+  LogOffset end;
+  std::string last_key;
+  bool has_more = false;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_CONTRACT_OPERATOR_RECORD_H_
--- /dev/null
+++ b/src/contract/route_table.h
@@ -0,0 +1,57 @@
+#ifndef GERANIUM_CONTRACT_ROUTE_TABLE_H_
+#define GERANIUM_CONTRACT_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+namespace geranium {
+
+/// Where jobs of one host and path prefix go, and how they are treated.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  ServiceName service;
+  int priority = 0;  ///< 0 is the most urgent.
+  Duration timeout;  ///< The longest that a caller waits for the answer.
+  /// Response-time goal: slack times the longest chain of work, plus this.
+  Duration target_latency;
+  double slack = 1.0;
+  std::uint32_t max_attempts = 1;  ///< Failed runs of one task.
+  bool needs_advice = false;       ///< Workers are chosen by a policy service.
+
+  template <class A>
+  void Fields(A& a) {
+    a(name)(host)(path_prefix)(service)(priority)(timeout)(target_latency)(
+        slack)(max_attempts)(needs_advice);
+  }
+};
+
+/// The operator's routes and the data centres that are taken out, as of one
+/// offset of the operator's log.
+struct RouteTable {
+  LogOffset offset;           ///< Of the newest record that is folded in.
+  std::uint64_t version = 0;  ///< The operator's own number; 0 is none yet.
+  std::vector<Route> routes;
+  std::vector<DataCentreName> data_centres_out;
+  std::int64_t most_body_bytes = 262'144;
+
+  /// The route with the longest prefix of `path` at `host`; null if none.
+  const Route* Find(std::string_view host, std::string_view path) const;
+  bool IsOut(const DataCentreName& name) const;
+
+  template <class A>
+  void Fields(A& a) {
+    a(offset)(version)(routes)(data_centres_out)(most_body_bytes);
+  }
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_CONTRACT_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/data_centre/route_follower.h
@@ -0,0 +1,61 @@
+#ifndef GERANIUM_DATA_CENTRE_ROUTE_FOLLOWER_H_
+#define GERANIUM_DATA_CENTRE_ROUTE_FOLLOWER_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log_note.h"
+#include "contract/operator_record.h"
+#include "contract/route_table.h"
+
+namespace geranium {
+
+/// The next call to the operator's log.
+struct LogStep {
+  enum class Kind { kNewest, kTail };
+  Kind kind = Kind::kNewest;
+  std::string after_key;  ///< With kNewest: the page after this key.
+  LogOffset from;         ///< With kTail.
+  Duration pause;         ///< To wait before the call.
+};
+
+/// Follows the operator's log: reads the newest record of each key, then every
+/// record after it, and starts over when the log has forgotten some. One call
+/// is open at a time.
+class RouteFollower {
+ public:
+  /// How long a read waits at the log for a record. Short enough that a
+  /// connection that went silent costs little of the time in which a change
+  /// has to be in force.
+  static constexpr Duration kReadWait{800};
+
+  LogStep Next() const;
+  /// Takes what a call brought; returns the table if it has changed.
+  std::optional<RouteTable> OnNewest(const Result<NewestRecords>& page);
+  std::optional<RouteTable> OnTail(const Result<OperatorRecords>& records);
+  std::vector<LogNote> TakeNotes();
+
+ private:
+  void Fail(const Error& error);
+  void Succeed();
+  bool Fold(const OperatorRecord& record);
+  RouteTable Build();
+
+  bool tailing_ = false;
+  std::string after_key_;
+  LogOffset next_;
+  RouteTable table_;
+  std::set<DataCentreName> out_;
+  std::set<DataCentreName> out_of_pages_;  ///< Seen in the pages so far.
+  Duration pause_;
+  bool out_of_reach_ = false;
+  std::vector<LogNote> notes_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_DATA_CENTRE_ROUTE_FOLLOWER_H_
--- /dev/null
+++ b/src/entry/step_entry_node.cc
@@ -0,0 +1,377 @@
+#include "entry/step_entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geranium {
+namespace {
+
+constexpr Duration kRetryAfterStart{1000};
+
+}  // namespace
+
+StepEntryNode::StepEntryNode(StepEntryOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      scheduler_(options_.scheduler, random_) {
+  scheduler_.SetTable(&table_);
+  entry_addresses_.insert(options_.link_address);
+}
+
+std::vector<StepAction> StepEntryNode::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+// ---- callers
+
+void StepEntryNode::OnSubmission(CallerHandle caller, StepSubmission submission,
+                                 TimePoint now) {
+  const auto refuse = [&](StepAnswer answer, const std::string& reason) {
+    Log(LogLevel::kInfo, "job_refused",
+        {{"job", submission.job.id.value()}, {"reason", reason}});
+    actions_.emplace_back(
+        AnswerStepJob{caller, answer, kRetryAfterStart, reason});
+  };
+  if (!has_table()) {
+    refuse(StepAnswer::kRefused, "no route table yet");
+    return;
+  }
+  const Route* route = table_.Find(submission.host, submission.path);
+  if (route == nullptr) {
+    refuse(StepAnswer::kNoRoute, "no such route");
+    return;
+  }
+  if (leaving_) {
+    refuse(StepAnswer::kRefused, "this entry is leaving");
+    return;
+  }
+  const StepJobId id = submission.job.id;
+  if (scheduler_.Knows(id)) {
+    // Sent again while its first sending is still worked on here.
+    scheduler_.GiveUp(id, now);
+    handovers_[id] = Handover{options_.incarnation, now};
+  }
+  const bool held = handovers_.contains(id) || AskForHandover(id, now);
+  unannounced_.push_back(id);
+  const Duration patience =
+      submission.patience.value_or(StepEntryNode::kRememberJobs);
+  scheduler_.Submit(caller, std::move(submission.job), *route, patience, held,
+                    now);
+  if (!held) scheduler_.Pump(now);
+  CollectActions(now);
+}
+
+void StepEntryNode::OnCallerGone(CallerHandle caller, TimePoint now) {
+  scheduler_.CallerGone(caller, now);
+  CollectActions(now);
+}
+
+bool StepEntryNode::CancelJob(const StepJobId& job, TimePoint now) {
+  const bool known = scheduler_.Cancel(job, now);
+  CollectActions(now);
+  return known;
+}
+
+bool StepEntryNode::IsReady(TimePoint now) const {
+  return !leaving_ && has_table() && scheduler_.accepting_workers(now) > 0;
+}
+
+void StepEntryNode::Leave(TimePoint /*now*/) { leaving_ = true; }
+
+// ---- jobs sent again
+
+bool StepEntryNode::AskForHandover(const StepJobId& job, TimePoint now) {
+  const auto found = elsewhere_.find(job);
+  if (found == elsewhere_.end()) return false;
+  const Incarnation entry = found->second.entry;
+  const auto heard = entry_heard_.find(entry);
+  const bool long_gone = heard == entry_heard_.end() ||
+                         now - heard->second > StepScheduler::kLost;
+  if (long_gone) return false;
+  handovers_[job] = Handover{entry, now};
+  if (const auto link = LinkOf(entry)) Send(*link, JobHandoverRequest{job});
+  Log(LogLevel::kInfo, "job_sent_again",
+      {{"job", job.value()}, {"held_by", ToString(entry)}});
+  return true;
+}
+
+void StepEntryNode::On(LinkId link, const JobsAccepted& accepted,
+                       TimePoint now) {
+  const Peer& peer = peers_[link];
+  if (!peer.hello) return;
+  for (const StepJobId& job : accepted.jobs) {
+    elsewhere_[job] = Elsewhere{peer.hello->incarnation, now};
+    elsewhere_expiry_.emplace(now + kRememberJobs, job);
+  }
+}
+
+void StepEntryNode::On(LinkId link, const JobHandoverRequest& request,
+                       TimePoint now) {
+  handover_askers_[request.job].push_back(link);
+  scheduler_.GiveUp(request.job, now);
+  Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
+}
+
+void StepEntryNode::On(LinkId /*link*/, const JobHandedOver& handed,
+                       TimePoint now) {
+  if (handovers_.erase(handed.job) == 0) return;
+  scheduler_.Release(handed.job, now);
+}
+
+// An entry that is silent cannot prove itself to its agents either, so its runs
+// have ended after the same time as those of a lost worker.
+void StepEntryNode::EndHandovers(TimePoint now) {
+  std::vector<StepJobId> over;
+  for (const auto& [job, handover] : handovers_) {
+    if (handover.from == options_.incarnation) continue;
+    const TimePoint heard =
+        std::min(entry_heard_[handover.from], handover.asked);
+    const bool gone = !LinkOf(handover.from) ||
+                      now - entry_heard_[handover.from] > kLinkSilence;
+    if (gone && now - heard > StepScheduler::kLost) over.push_back(job);
+  }
+  for (const StepJobId& job : over) {
+    handovers_.erase(job);
+    scheduler_.Release(job, now);
+  }
+}
+
+void StepEntryNode::TellGivenUp(TimePoint now) {
+  for (const StepJobId& job : scheduler_.TakeGivenUp()) {
+    const auto own = handovers_.find(job);
+    if (own != handovers_.end() && own->second.from == options_.incarnation) {
+      handovers_.erase(own);
+      scheduler_.Release(job, now);
+    }
+    const auto askers = handover_askers_.find(job);
+    if (askers == handover_askers_.end()) continue;
+    for (const LinkId link : askers->second) {
+      if (peers_.contains(link)) Send(link, JobHandedOver{job});
+    }
+    handover_askers_.erase(askers);
+  }
+}
+
+void StepEntryNode::AnnounceJobs(TimePoint now) {
+  if (unannounced_.empty() || now < next_announce_) return;
+  next_announce_ = now + kAnnounceInterval;
+  const JobsAccepted accepted{std::exchange(unannounced_, {})};
+  for (const auto& [entry, link] : entry_links_) Send(link, accepted);
+}
+
+// ---- links
+
+void StepEntryNode::OnLinkUp(LinkId link, TimePoint now) {
+  peers_[link].heard = now;
+  Hello hello;
+  hello.role = ProcessRole::kEntry;
+  hello.name = options_.id.value();
+  hello.incarnation = options_.incarnation;
+  hello.link_address = options_.link_address;
+  Send(link, hello);
+  Send(link, MakeHeartbeat(peers_[link], now));
+  Send(link, Members{{entry_addresses_.begin(), entry_addresses_.end()}});
+}
+
+void StepEntryNode::OnLinkDown(LinkId link, TimePoint now) {
+  const auto found = peers_.find(link);
+  if (found == peers_.end()) return;
+  if (found->second.hello) {
+    const Hello& hello = *found->second.hello;
+    if (hello.role == ProcessRole::kAgent) {
+      scheduler_.OnWorkerDown(link, now);
+    } else if (LinkOf(hello.incarnation) == link) {
+      entry_links_.erase(hello.incarnation);
+      Log(LogLevel::kWarning, "entry_link_down", {{"entry", hello.name}});
+    }
+  }
+  peers_.erase(found);
+  CollectActions(now);
+}
+
+void StepEntryNode::OnMessage(LinkId link, const Message& message,
+                              TimePoint now) {
+  const auto peer = peers_.find(link);
+  if (peer == peers_.end()) return;
+  peer->second.heard = now;
+  if (peer->second.hello) {
+    if (peer->second.hello->role == ProcessRole::kEntry) {
+      entry_heard_[peer->second.hello->incarnation] = now;
+    } else {
+      scheduler_.OnHeard(link, now);
+    }
+  }
+  std::visit([&](const auto& typed) { On(link, typed, now); }, message);
+}
+
+void StepEntryNode::OnFrameEnd(TimePoint now) {
+  scheduler_.Pump(now);
+  CollectActions(now);
+}
+
+void StepEntryNode::On(LinkId link, const Hello& hello, TimePoint now) {
+  peers_[link].hello = hello;
+  if (hello.role == ProcessRole::kAgent) {
+    scheduler_.OnWorkerUp(link, hello.incarnation, now);
+    Log(LogLevel::kInfo, "agent_link_up", {{"agent", hello.name}});
+    return;
+  }
+  entry_links_[hello.incarnation] = link;
+  entry_heard_[hello.incarnation] = now;
+  Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
+  if (entry_addresses_.insert(hello.link_address).second) {
+    actions_.emplace_back(ConnectEntry{hello.link_address});
+    SendMembers();
+  }
+}
+
+void StepEntryNode::On(LinkId /*link*/, const Members& members,
+                       TimePoint /*now*/) {
+  bool learnt = false;
+  for (const std::string& address : members.entry_addresses) {
+    if (!entry_addresses_.insert(address).second) continue;
+    actions_.emplace_back(ConnectEntry{address});
+    learnt = true;
+  }
+  if (learnt) SendMembers();
+}
+
+void StepEntryNode::SendMembers() {
+  const Members members{{entry_addresses_.begin(), entry_addresses_.end()}};
+  for (const auto& [link, peer] : peers_) Send(link, members);
+}
+
+void StepEntryNode::On(LinkId link, const Heartbeat& heartbeat,
+                       TimePoint /*now*/) {
+  Peer& peer = peers_[link];
+  peer.newest_sent_at = heartbeat.sent_at;
+  const bool from_entry =
+      peer.hello && peer.hello->role == ProcessRole::kEntry;
+  const bool behind = heartbeat.version.value() > table_.offset.value();
+  if (!from_entry || !behind || peer.pull_sent) return;
+  peer.pull_sent = true;
+  Send(link, RouteTablePull{table_.offset});
+}
+
+void StepEntryNode::On(LinkId link, const RouteTablePull& pull,
+                       TimePoint /*now*/) {
+  if (has_table() && table_.offset > pull.have) {
+    Send(link, RouteTablePush{table_});
+  }
+}
+
+void StepEntryNode::On(LinkId link, const RouteTablePush& push, TimePoint now) {
+  Peer& peer = peers_[link];
+  peer.pull_sent = false;
+  OnRouteTable(push.table, peer.hello ? peer.hello->name : "", now);
+}
+
+void StepEntryNode::OnRouteTable(const RouteTable& table,
+                                 const std::string& source, TimePoint now) {
+  const bool newer = table.offset > table_.offset || !has_table();
+  if (!newer || table.version < table_.version) return;
+  table_ = table;
+  std::string out;
+  for (const DataCentreName& name : table.data_centres_out) {
+    out += (out.empty() ? "" : ",") + name.value();
+  }
+  Log(LogLevel::kInfo, "route_table",
+      {{"version", std::to_string(table.version)},
+       {"offset", std::to_string(table.offset.value())},
+       {"routes", std::to_string(table.routes.size())},
+       {"out", out},
+       {"source", source}});
+  scheduler_.Pump(now);
+  CollectActions(now);
+}
+
+void StepEntryNode::On(LinkId link, const WorkerCard& card, TimePoint now) {
+  scheduler_.On(link, card, now);
+}
+void StepEntryNode::On(LinkId link, const WorkerReport& report, TimePoint now) {
+  scheduler_.On(link, report, now);
+}
+void StepEntryNode::On(LinkId link, const AttemptList& list, TimePoint now) {
+  scheduler_.On(link, list, now);
+}
+void StepEntryNode::On(LinkId link, const TaskEnd& end, TimePoint now) {
+  scheduler_.On(link, end, now);
+}
+
+// ---- time
+
+void StepEntryNode::OnTick(TimePoint now) {
+  EndHandovers(now);
+  AnnounceJobs(now);
+  CloseSilentLinks(now);
+  SendHeartbeats(now);
+  scheduler_.OnTick(now);
+  while (!elsewhere_expiry_.empty() &&
+         elsewhere_expiry_.begin()->first <= now) {
+    const StepJobId job = elsewhere_expiry_.begin()->second;
+    elsewhere_expiry_.erase(elsewhere_expiry_.begin());
+    const auto found = elsewhere_.find(job);
+    const bool old = found != elsewhere_.end() &&
+                     now - found->second.announced >= kRememberJobs;
+    if (old) elsewhere_.erase(found);
+  }
+  CollectActions(now);
+}
+
+Heartbeat StepEntryNode::MakeHeartbeat(Peer& peer, TimePoint now) const {
+  peer.echoed = peer.newest_sent_at;
+  return Heartbeat{now, peer.newest_sent_at, Version(table_.offset.value()),
+                   std::nullopt, std::nullopt};
+}
+
+void StepEntryNode::SendHeartbeats(TimePoint now) {
+  if (now < next_heartbeat_) return;
+  next_heartbeat_ = now + kHeartbeat;
+  for (auto& [link, peer] : peers_) {
+    peer.pull_sent = false;
+    Send(link, MakeHeartbeat(peer, now));
+  }
+}
+
+void StepEntryNode::CloseSilentLinks(TimePoint now) {
+  for (auto& [link, peer] : peers_) {
+    if (now - peer.heard <= kLinkSilence) continue;
+    peer.heard = now;
+    actions_.emplace_back(CloseLink{link});
+  }
+}
+
+std::optional<LinkId> StepEntryNode::LinkOf(Incarnation entry) const {
+  const auto found = entry_links_.find(entry);
+  if (found == entry_links_.end()) return std::nullopt;
+  return found->second;
+}
+
+// An order goes out behind a proof that this entry has heard the agent lately,
+// without which the agent refuses it.
+void StepEntryNode::CollectActions(TimePoint now) {
+  TellGivenUp(now);
+  for (StepAction& action : scheduler_.TakeActions()) {
+    const auto* message = std::get_if<SendMessage>(&action);
+    if (message != nullptr &&
+        std::holds_alternative<StartTask>(message->message)) {
+      const auto peer = peers_.find(message->link);
+      if (peer != peers_.end() &&
+          peer->second.echoed != peer->second.newest_sent_at) {
+        Send(message->link, MakeHeartbeat(peer->second, now));
+      }
+    }
+    actions_.push_back(std::move(action));
+  }
+}
+
+void StepEntryNode::Send(LinkId link, Message message) {
+  actions_.emplace_back(SendMessage{link, std::move(message)});
+}
+
+void StepEntryNode::Log(LogLevel level, const std::string& event,
+                        LogFields fields) {
+  actions_.emplace_back(LogNote{level, event, std::move(fields)});
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/entry/step_scheduler.h
@@ -0,0 +1,207 @@
+#ifndef GERANIUM_ENTRY_STEP_SCHEDULER_H_
+#define GERANIUM_ENTRY_STEP_SCHEDULER_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "contract/route_table.h"
+#include "contract/step_job.h"
+#include "entry/step_actions.h"
+#include "link/messages.h"
+
+namespace geranium {
+
+struct StepSchedulerOptions {
+  Incarnation incarnation;
+  DataCentreName data_centre;  ///< The entry's own.
+  double cross_rack_factor = 1.5;  ///< Run time away from the data's rack.
+};
+
+/// Counts for metrics.
+struct StepCounters {
+  std::uint64_t submitted = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t abandoned = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t orders = 0;
+  std::uint64_t bounced = 0;
+  std::uint64_t stopped = 0;
+  std::uint64_t lost = 0;
+};
+
+/// Places the tasks of step jobs on workers by room, rack and speed, answers
+/// each job once, and never has two runs of a task at the same time. Holds no
+/// socket, thread or clock.
+class StepScheduler {
+ public:
+  /// A worker is given nothing new after this much silence.
+  static constexpr Duration kSilent{300};
+  /// After this much silence nothing that was ordered there runs any more: the
+  /// agent stops it when our proofs of life cease, or its lease runs out.
+  static constexpr Duration kLost{1350};
+
+  StepScheduler(StepSchedulerOptions options, Random& random);
+
+  // Callers.
+
+  /// Admits the job, or answers it at once. While `held`, nothing is ordered.
+  void Submit(CallerHandle caller, StepJob job, const Route& route,
+              Duration patience, bool held, TimePoint now);
+  /// Nobody waits for the job's answer any more.
+  void CallerGone(CallerHandle caller, TimePoint now);
+  /// Ends an open job at its caller's wish; false if it is not known.
+  bool Cancel(const StepJobId& id, TimePoint now);
+  std::size_t CountPending(const Route& route) const;
+  /// Orders of a job that was held may be sent.
+  void Release(const StepJobId& id, TimePoint now);
+  /// Gives the job up; `GivenUp` lists it when nothing of it runs.
+  void GiveUp(const StepJobId& id, TimePoint now);
+  std::vector<StepJobId> TakeGivenUp();
+  bool Knows(const StepJobId& id) const { return by_id_.contains(id); }
+
+  // Workers.
+
+  void OnWorkerUp(LinkId link, Incarnation agent, TimePoint now);
+  void OnWorkerDown(LinkId link, TimePoint now);
+  /// Anything came over the worker's link.
+  void OnHeard(LinkId link, TimePoint now);
+  void On(LinkId link, const WorkerCard& card, TimePoint now);
+  void On(LinkId link, const WorkerReport& report, TimePoint now);
+  void On(LinkId link, const AttemptList& list, TimePoint now);
+  void On(LinkId link, const TaskEnd& end, TimePoint now);
+
+  void SetTable(const RouteTable* table) { table_ = table; }
+  void OnTick(TimePoint now);
+  /// Places what waits; to be called after a batch of messages.
+  void Pump(TimePoint now);
+
+  std::vector<StepAction> TakeActions();
+
+  std::size_t open_jobs() const { return by_caller_.size(); }
+  std::size_t accepting_workers(TimePoint now) const;
+  const StepCounters& counters() const { return counters_; }
+
+ private:
+  enum class TaskState { kBlocked, kWaiting, kOrdered, kDone };
+
+  struct StepTask {
+    TaskState state = TaskState::kBlocked;
+    std::uint64_t run = 0;  ///< The newest run that was ordered.
+    std::uint32_t failures = 0;
+    std::optional<AttemptId> attempt;
+    std::optional<WorkerId> avoid;  ///< Where the last run went wrong.
+  };
+
+  struct Step {
+    std::vector<StepTask> tasks;
+    std::size_t waiting = 0;
+    std::size_t done = 0;
+  };
+
+  using JobNumber = std::uint64_t;
+
+  struct Job {
+    CallerHandle caller;
+    StepJob spec;
+    Route route;
+    TimePoint submitted;
+    TimePoint limit;  ///< Its answer is worth nothing later.
+    std::vector<Step> steps;
+    std::size_t waiting = 0;
+    std::size_t attempts = 0;  ///< Orders that are not known to have ended.
+    bool held = false;
+    bool answered = false;
+    bool given_up = false;
+    bool may_have_run = false;
+  };
+
+  struct Worker {
+    Incarnation agent;
+    std::optional<LinkId> link;
+    std::optional<WorkerCard> card;
+    WorkerReport report;
+    TimePoint heard;
+    double cpu_sent = 0;  ///< Over the present link.
+    TimePoint next_probe = TimePoint::Never();
+    std::set<AttemptId> attempts;
+  };
+
+  struct Attempt {
+    JobNumber job = 0;
+    std::size_t step = 0;
+    std::size_t task = 0;
+    Incarnation agent;
+    TimePoint sent;
+  };
+
+  /// What is looked for in a worker.
+  struct Need {
+    const StepSpec* step = nullptr;
+    const Job* job = nullptr;
+    const Step* state = nullptr;
+    std::size_t step_index = 0;
+    const std::optional<WorkerId>* avoid = nullptr;
+  };
+
+  std::string Unsupported(const StepJob& job, const Route& route) const;
+  Duration ChainEstimate(const StepJob& job) const;
+  void Unblock(Job& job);
+  bool PlaceTask(JobNumber number, Job& job, std::size_t step,
+                 std::size_t task, TimePoint now);
+  Worker* ChooseWorker(const Need& need, TimePoint now);
+  bool Suits(const Worker& worker, const Need& need, TimePoint now) const;
+  double FreeCpu(const Worker& worker) const;
+  double Cost(const Worker& worker, const Need& need, double median) const;
+  double MedianSlowness() const;
+  bool FitsAny(const StepSpec& step, const ServiceName& service) const;
+  std::uint32_t CountOn(const Need& need, const Worker& worker) const;
+  void Order(JobNumber number, Job& job, std::size_t step, std::size_t task,
+             Worker& worker, TimePoint now);
+  void Resolve(const AttemptId& id, AttemptEnd end, const std::string& reason,
+               TimePoint now);
+  void TakeDone(Job& job, std::size_t step, StepTask& task, TimePoint now);
+  void TakeFailed(Job& job, std::size_t step, StepTask& task,
+                  const Worker* worker, TimePoint now);
+  void ReturnTask(Job& job, std::size_t step, StepTask& task);
+  void Answer(Job& job, StepAnswer answer, Duration retry_after,
+              const std::string& reason, TimePoint now);
+  void StopRuns(Job& job);
+  void ForgetIfDone(JobNumber number);
+  void ExpireJobs(TimePoint now);
+  void LoseSilentWorkers(TimePoint now);
+  void LoseWorker(Worker& worker, const std::string& why, TimePoint now);
+  Worker* FindByLink(LinkId link);
+  void Send(LinkId link, Message message);
+  void Log(LogLevel level, const std::string& event, LogFields fields);
+
+  StepSchedulerOptions options_;
+  Random& random_;
+  const RouteTable* table_ = nullptr;
+  JobNumber next_job_ = 1;
+  std::uint64_t next_attempt_ = 1;
+  std::map<JobNumber, Job> jobs_;
+  std::unordered_map<CallerHandle, JobNumber> by_caller_;
+  std::unordered_map<StepJobId, JobNumber> by_id_;
+  /// Jobs with waiting tasks, by priority and age.
+  std::set<std::pair<int, JobNumber>> waiting_;
+  std::map<Incarnation, Worker> workers_;
+  std::unordered_map<LinkId, Incarnation> by_link_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::vector<StepJobId> given_up_;
+  StepCounters counters_;
+  std::vector<StepAction> actions_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_ENTRY_STEP_SCHEDULER_H_
--- a/src/link/actions.h
+++ b/src/link/actions.h
@@ -19,6 +19,11 @@
   std::string address;
 };
 
+/// Cuts a link that has gone silent; whoever dialled it dials again.
+struct CloseLink {
+  LinkId link;
+};
+
 }  // namespace geranium
 
 #endif  // GERANIUM_LINK_ACTIONS_H_
--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -23,7 +23,19 @@
     "leaving",
     "drain",
     "key_query",
-    "key_reply"};
+    "key_reply",
+    "worker_card",
+    "worker_report",
+    "start_task",
+    "stop_task",
+    "task_end",
+    "task_end_ack",
+    "attempt_list",
+    "route_table_pull",
+    "route_table_push",
+    "jobs_accepted",
+    "job_handover_request",
+    "job_handed_over"};
 
 }  // namespace
 
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "contract/task.h"
 #include "data_centre/configuration_state.h"
+#include "link/step_messages.h"
 
 namespace geranium {
 
@@ -291,7 +292,11 @@
 using Message = std::variant<Hello, Members, Heartbeat, ConfigurationPull,
                              ConfigurationPush, Offer, OfferAck, Ready, Grant,
                              Withdraw, NotStarted, Cancel, TaskResult,
-                             ResultAck, Leaving, Drain, KeyQuery, KeyReply>;
+                             ResultAck, Leaving, Drain, KeyQuery, KeyReply,
+                             WorkerCard, WorkerReport, StartTask, StopTask,
+                             TaskEnd, TaskEndAck, AttemptList, RouteTablePull,
+                             RouteTablePush, JobsAccepted, JobHandoverRequest,
+                             JobHandedOver>;
 
 /// The name of a message's type, for logs and metrics.
 std::string_view MessageName(const Message& message);
--- /dev/null
+++ b/src/link/step_messages.h
@@ -0,0 +1,166 @@
+#ifndef GERANIUM_LINK_STEP_MESSAGES_H_
+#define GERANIUM_LINK_STEP_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "contract/route_table.h"
+#include "contract/step_job.h"
+#include "contract/task.h"
+
+namespace geranium {
+
+/// A backend server's life as its agent knows it; sent when it changes.
+struct WorkerCard {
+  WorkerId id;
+  ServiceName service;
+  DataCentreName data_centre;
+  std::vector<std::string> labels;  ///< Its kind and its rack among them.
+  Resources capacity;
+  /// Nothing that an earlier agent or life had started runs any more.
+  bool settled = false;
+
+  template <class A>
+  void Fields(A& a) {
+    a(id)(service)(data_centre)(labels)(capacity)(settled);
+  }
+};
+
+/// What a worker can take now; sent when it changes.
+struct WorkerReport {
+  bool accepting = false;
+  Resources free;  ///< Less what is queued at the agent.
+  /// Processor of all orders received on this link, so that the entry knows
+  /// which of its own orders `free` includes.
+  double cpu_received = 0;
+  int queued = 0;
+  double slowness = 1;  ///< Run times there against the estimates.
+  bool failing = false;  ///< Most of what it starts fails or stands still.
+
+  template <class A>
+  void Fields(A& a) {
+    a(accepting)(free)(cpu_received)(queued)(slowness)(failing);
+  }
+};
+
+/// Orders an agent to start a run, or to queue it for a moment. Valid only
+/// while the link is fresh.
+struct StartTask {
+  AttemptId attempt;
+  TaskRun run;
+  std::string payload;
+  Resources size;
+  int priority = 0;
+  Duration estimate;
+
+  template <class A>
+  void Fields(A& a) {
+    a(attempt)(run)(payload)(size)(priority)(estimate);
+  }
+};
+
+/// Orders an agent to stop the run, or to drop it if it has not started.
+struct StopTask {
+  AttemptId attempt;
+
+  template <class A>
+  void Fields(A& a) {
+    a(attempt);
+  }
+};
+
+enum class AttemptEnd {
+  kDone,
+  kFailed,      ///< It ran and failed.
+  kNotStarted,  ///< It never ran at that worker and never will.
+  kStopped,     ///< It ran for a while and does not any more.
+  kSuperseded,  ///< Not started: the worker knows a run with a higher number.
+};
+
+/// An attempt's end; sent again on a new link until it is acknowledged.
+struct TaskEnd {
+  AttemptId attempt;
+  AttemptEnd end = AttemptEnd::kNotStarted;
+  std::string reason;
+
+  template <class A>
+  void Fields(A& a) {
+    a(attempt)(end)(reason);
+  }
+};
+
+struct TaskEndAck {
+  AttemptId attempt;
+
+  template <class A>
+  void Fields(A& a) {
+    a(attempt);
+  }
+};
+
+/// The entry's attempts that the agent holds, sent first on each new link. An
+/// order that is not among them was lost with the old link.
+struct AttemptList {
+  std::vector<AttemptId> attempts;
+
+  template <class A>
+  void Fields(A& a) {
+    a(attempts);
+  }
+};
+
+struct RouteTablePull {
+  LogOffset have;
+
+  template <class A>
+  void Fields(A& a) {
+    a(have);
+  }
+};
+
+struct RouteTablePush {
+  RouteTable table;
+
+  template <class A>
+  void Fields(A& a) {
+    a(table);
+  }
+};
+
+/// Jobs that the sending entry has accepted, so that a job sent again at
+/// another entry is not run beside it.
+struct JobsAccepted {
+  std::vector<StepJobId> jobs;
+
+  template <class A>
+  void Fields(A& a) {
+    a(jobs);
+  }
+};
+
+/// Asks the entry that accepted the job to give it up.
+struct JobHandoverRequest {
+  StepJobId job;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job);
+  }
+};
+
+/// Nothing of the job runs for the sender any more.
+struct JobHandedOver {
+  StepJobId job;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job);
+  }
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_LINK_STEP_MESSAGES_H_
--- a/src/link/web_socket/web_socket.cc
+++ b/src/link/web_socket/web_socket.cc
@@ -11,8 +11,18 @@
 namespace geranium {
 namespace {
 
+// A host that is off does not refuse a connection; it is tried again soon.
+struct ClientConfig : websocketpp::config::asio_client {
+  struct transport_config  // NOLINT(readability-identifier-naming)
+      : websocketpp::config::asio_client::transport_config {
+    static const long timeout_connect = 1000;  // NOLINT; in milliseconds
+  };
+  using transport_type =  // NOLINT(readability-identifier-naming)
+      websocketpp::transport::asio::endpoint<transport_config>;
+};
+
 using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<ClientConfig>;
 using Tcp = boost::asio::ip::tcp;
 using websocketpp::connection_hdl;
 
@@ -80,6 +90,15 @@
     if (found != connections_.end()) found->second.close();
   }
 
+  void Cut(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return;
+    const auto cut = found->second.cut;
+    connections_.erase(found);
+    cut();
+    handlers_.on_close(id);
+  }
+
   void Stop() {
     websocketpp::lib::error_code ignored;
     if (server_.is_listening()) server_.stop_listening(ignored);
@@ -91,6 +110,7 @@
   struct Connection {
     std::function<void(const std::string&)> send;
     std::function<void()> close;
+    std::function<void()> cut;
   };
 
   template <class Endpoint>
@@ -123,14 +143,21 @@
       websocketpp::lib::error_code ignored;
       connection->close(websocketpp::close::status::going_away, "", ignored);
     };
+    entry.cut = [connection] {
+      // Bytes that a dead path holds up must not arrive later.
+      boost::system::error_code ignored;
+      auto& socket = connection->get_raw_socket();
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+    };
     using MessagePtr = typename ConnectionPtr::element_type::message_ptr;
     connection->set_message_handler(
         [this, id](connection_hdl /*handle*/, const MessagePtr& message) {
+          if (connections_.count(id) == 0) return;
           handlers_.on_message(id, message->get_payload());
         });
     connection->set_close_handler([this, id](connection_hdl /*handle*/) {
-      connections_.erase(id);
-      handlers_.on_close(id);
+      if (connections_.erase(id) > 0) handlers_.on_close(id);
     });
     handlers_.on_open(id, dialled);
   }
@@ -159,6 +186,8 @@
 
 void WebSocketNode::Close(ConnectionId id) { impl_->Close(id); }
 
+void WebSocketNode::Cut(ConnectionId id) { impl_->Cut(id); }
+
 void WebSocketNode::Stop() { impl_->Stop(); }
 
 }  // namespace geranium
--- a/src/link/web_socket/web_socket.h
+++ b/src/link/web_socket/web_socket.h
@@ -40,6 +40,9 @@
   /// Sends one binary message; dropped if the connection is gone.
   void Send(ConnectionId id, const std::string& bytes);
   void Close(ConnectionId id);
+  /// Resets the connection without a closing handshake; what was sent and has
+  /// not arrived is lost.
+  void Cut(ConnectionId id);
   /// Takes no more connections and closes all.
   void Stop();
 
--- a/src/programs/geranium_entry.cc
+++ b/src/programs/geranium_entry.cc
@@ -1,7 +1,22 @@
 #include "runtime/entry_server.h"
 #include "runtime/logging.h"
+#include "runtime/step_entry_server.h"
 #include "settings/command_line.h"
 #include "settings/process_settings.h"
+#include "settings/step_settings.h"
+
+namespace {
+
+int RunOnPlatform(const std::string& program, const geranium::IniFile& file,
+                  bool check) {
+  const auto settings = geranium::ReadStepEntrySettings(file);
+  if (!settings) return geranium::FailSettings(program, settings.error());
+  if (check) return 0;
+  geranium::StartLogging(program, settings.value().node.id.value());
+  return geranium::StepEntryServer(settings.value()).Run();
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
   const std::string program = "geranium-entry";
@@ -12,6 +27,9 @@
   if (exit) return *exit;
   const auto file = geranium::LoadSettings(command_line);
   if (!file) return geranium::FailSettings(program, file.error());
+  if (geranium::HasPlatform(file.value())) {
+    return RunOnPlatform(program, file.value(), command_line.check);
+  }
   const auto settings = geranium::ReadEntrySettings(file.value());
   if (!settings) return geranium::FailSettings(program, settings.error());
   if (command_line.check) return 0;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -106,8 +106,11 @@
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& io, Handler handler)
-      : io_(io), acceptor_(io), handler_(std::move(handler)) {}
+  Impl(asio::io_context& io, Handler handler, HalfClose half_close)
+      : io_(io),
+        acceptor_(io),
+        handler_(std::move(handler)),
+        half_close_(half_close) {}
 
   std::string Listen(const std::string& address) {
     const auto colon = address.rfind(':');
@@ -135,6 +138,10 @@
     });
   }
 
+  void CloseAfterAnswers() {
+    asio::post(io_, [self = shared_from_this()] { self->stopping_ = true; });
+  }
+
   std::size_t unanswered() const { return unanswered_; }
 
  private:
@@ -171,11 +178,12 @@
         break;
       }
       auto message = parser.release();
-      const bool keep = message.keep_alive() && !self->stopping_;
+      const bool kept_alive = message.keep_alive();
       const unsigned version = message.version();
       ++self->unanswered_;
       const HttpResponse response =
           co_await Handle(self, stream, ToRequest(std::move(message)));
+      const bool keep = kept_alive && !self->stopping_;
       const bool written = co_await Write(stream, response, version, keep);
       --self->unanswered_;
       if (!written || !keep) break;
@@ -194,6 +202,19 @@
                                [exchange](const beast::error_code& wait_error) {
                                  if (!wait_error) exchange->Gone();
                                });
+    if (self->half_close_ == HalfClose::kGone) {
+      stream.socket().async_wait(
+          tcp::socket::wait_read,
+          [exchange, handle = stream.socket().native_handle()](
+              const beast::error_code& wait_error) {
+            char byte = 0;
+            if (wait_error) return;
+            // Nothing to read means the end; a byte is the next request.
+            if (::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+              exchange->Gone();
+            }
+          });
+    }
     self->handler_(exchange);
     HttpResponse response = co_await exchange->Wait();
     beast::error_code ignored;
@@ -242,12 +263,14 @@
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   Handler handler_;
+  HalfClose half_close_;
   bool stopping_ = false;
   std::atomic<std::size_t> unanswered_ = 0;
 };
 
-HttpServer::HttpServer(asio::io_context& io, Handler handler)
-    : impl_(std::make_shared<Impl>(io, std::move(handler))) {}
+HttpServer::HttpServer(asio::io_context& io, Handler handler,
+                       HalfClose half_close)
+    : impl_(std::make_shared<Impl>(io, std::move(handler), half_close)) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -257,6 +280,8 @@
 
 void HttpServer::StopListening() { impl_->StopListening(); }
 
+void HttpServer::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
+
 std::size_t HttpServer::unanswered() const { return impl_->unanswered(); }
 
 }  // namespace geranium
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -19,7 +19,7 @@
   virtual const HttpRequest& request() const = 0;
   virtual void Reply(HttpResponse response) = 0;
   /// Called on the traffic thread if the caller resets the connection before
-  /// the reply. A caller that only stops sending is answered.
+  /// the reply, or stops sending where that counts as leaving.
   virtual void SetOnGone(std::function<void()> on_gone) = 0;
 };
 
@@ -31,13 +31,20 @@
 
   static constexpr std::size_t kMostBodyBytes = 8U << 20U;
 
-  HttpServer(boost::asio::io_context& io, Handler handler);
+  /// What the end of a caller's sending means while its request is open.
+  enum class HalfClose { kAnswered, kGone };
+
+  HttpServer(boost::asio::io_context& io, Handler handler,
+             HalfClose half_close = HalfClose::kAnswered);
   ~HttpServer();
 
   /// Takes connections at `ip:port`; returns what went wrong, or nothing.
   std::string Listen(const std::string& address);
   /// Takes no more connections; those that are open stay.
   void StopListening();
+  /// Closes each connection once the request on it is answered; new ones are
+  /// still taken.
+  void CloseAfterAnswers();
   /// Requests that have not been answered in full.
   std::size_t unanswered() const;
 
--- a/src/runtime/logging.h
+++ b/src/runtime/logging.h
@@ -2,18 +2,13 @@
 #define GERANIUM_RUNTIME_LOGGING_H_
 
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "base/error.h"
 #include "base/events.h"
+#include "base/log_note.h"
 
 namespace geranium {
 
-enum class LogLevel { kInfo, kWarning, kError };
-
-using LogFields = std::vector<std::pair<std::string, std::string>>;
-
 /// Begins logging to standard error: one line of key=value pairs each.
 void StartLogging(const std::string& program, const std::string& instance);
 
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -11,17 +11,17 @@
 namespace {
 
 constexpr Duration kFirstDialWait{50};
-constexpr Duration kLongestDialWait{2000};
 
 }  // namespace
 
 PeerLinks::PeerLinks(boost::asio::io_context& control,
                      boost::asio::io_context& traffic, Handlers handlers,
-                     std::uint64_t seed)
+                     std::uint64_t seed, Duration longest_dial_wait)
     : control_(control),
       traffic_(traffic),
       handlers_(std::move(handlers)),
-      random_(seed) {
+      random_(seed),
+      longest_dial_wait_(longest_dial_wait) {
   WebSocketNode::Handlers sockets;
   sockets.on_open = [this](std::uint64_t id, const std::string& dialled) {
     OnOpen(id, dialled);
@@ -51,6 +51,11 @@
   outgoing_[link].push_back(std::move(message));
 }
 
+void PeerLinks::Cut(LinkId link) {
+  outgoing_.erase(link);
+  boost::asio::post(traffic_, [this, link] { sockets_->Cut(link.value()); });
+}
+
 void PeerLinks::Flush() {
   for (auto& [link, frame] : outgoing_) {
     boost::asio::post(traffic_,
@@ -115,7 +120,7 @@
       dial_waits_.try_emplace(address, kFirstDialWait).first->second;
   auto timer = std::make_shared<boost::asio::steady_timer>(
       traffic_, std::chrono::milliseconds(random_.Jitter(wait).ms()));
-  wait = std::min(kLongestDialWait, wait * 2);
+  wait = std::min(longest_dial_wait_, wait * 2);
   timer->async_wait([this, timer, address](const auto& error) {
     if (!error && !stopping_) sockets_->Dial(address);
   });
--- a/src/runtime/peer_links.h
+++ b/src/runtime/peer_links.h
@@ -20,6 +20,8 @@
 /// one turn of the control thread travels in one frame for each link.
 class PeerLinks {
  public:
+  static constexpr Duration kLongestDialWait{2000};
+
   struct Handlers {
     std::function<void(LinkId)> on_up;
     std::function<void(LinkId, const Message&)> on_message;
@@ -29,7 +31,8 @@
   };
 
   PeerLinks(boost::asio::io_context& control, boost::asio::io_context& traffic,
-            Handlers handlers, std::uint64_t seed);
+            Handlers handlers, std::uint64_t seed,
+            Duration longest_dial_wait = kLongestDialWait);
   ~PeerLinks();
 
   /// Takes links at `ip:port`; to be called before the threads start. Returns
@@ -38,6 +41,8 @@
   /// Connects to `ip:port`, again and again with growing jittered waits.
   void Keep(const std::string& address);
   void Send(LinkId link, Message message);
+  /// Resets a link that has gone silent.
+  void Cut(LinkId link);
   /// Hands over what was sent since the last flush.
   void Flush();
   /// Closes all links and dials no more.
@@ -57,6 +62,7 @@
   boost::asio::io_context& traffic_;
   Handlers handlers_;
   Random random_;
+  Duration longest_dial_wait_;
   bool stopping_ = false;
   std::map<std::uint64_t, std::string> dialled_;
   std::map<std::string, Duration> dial_waits_;
--- /dev/null
+++ b/src/runtime/step_agent_server.cc
@@ -0,0 +1,183 @@
+#include "runtime/step_agent_server.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "platform/worker_api.h"
+#include "runtime/logging.h"
+
+namespace geranium {
+namespace {
+
+constexpr Duration kLongestDialWait{500};
+/// Entries learn of the leaving agent within this time and send nothing more.
+constexpr Duration kShutdownLinger{300};
+/// Left before SIGKILL for stopping what still runs and for telling entries.
+constexpr Duration kStopMargin{900};
+constexpr Duration kShutdownMargin{300};
+
+}  // namespace
+
+StepAgentServer::StepAgentServer(StepAgentSettings settings)
+    : settings_(std::move(settings)),
+      session_(settings_.node),
+      links_(loop_.control(), loop_.traffic(),
+             PeerLinks::Handlers{
+                 [this](LinkId link) { session_.OnLinkUp(link, clock_.Now()); },
+                 [this](LinkId link, const Message& message) {
+                   session_.OnMessage(link, message, clock_.Now());
+                 },
+                 [this](LinkId link) {
+                   session_.OnLinkDown(link, clock_.Now());
+                 },
+                 [this] { Carry(); }},
+             settings_.node.incarnation.value(), kLongestDialWait),
+      http_(loop_.traffic()),
+      registration_(loop_.traffic(), [this](const ExchangePtr& exchange) {
+        OnRegistration(exchange);
+      }) {}
+
+int StepAgentServer::Run() {
+  const std::string problem =
+      registration_.Listen(settings_.registration_address);
+  if (!problem.empty()) {
+    LogChange(LogLevel::kError, "listen_failed",
+              {{"address", settings_.registration_address},
+               {"message", problem}});
+    return 1;
+  }
+  LogChange(LogLevel::kInfo, "started",
+            {{"incarnation", ToString(settings_.node.incarnation)},
+             {"worker", settings_.worker_address}});
+  session_.KnowEntries(settings_.entry_addresses);
+  for (const std::string& address : settings_.entry_addresses) {
+    links_.Keep(address);
+  }
+  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); });
+  return exit_status_;
+}
+
+// ---- the worker
+
+void StepAgentServer::OnRegistration(const ExchangePtr& exchange) {
+  const HttpRequest& request = exchange->request();
+  HttpResponse response;
+  response.body = "{}";
+  if (const auto left = platform::LeavingWorker(request)) {
+    boost::asio::post(loop_.control(), [this, exchange, response, left] {
+      session_.OnWorkerLeft(left->worker, clock_.Now());
+      exchange->Reply(response);
+      Carry();
+    });
+    return;
+  }
+  if (!platform::AnnouncingWorker(request)) {
+    response.status = 404;
+    exchange->Reply(std::move(response));
+    return;
+  }
+  const auto announcement = platform::ReadAnnouncement(request);
+  boost::asio::post(
+      loop_.control(), [this, exchange, response, announcement]() mutable {
+        const TimePoint now = clock_.Now();
+        if (announcement) {
+          session_.OnAnnouncement(announcement.value(), now);
+        } else {
+          response.status = 400;
+          Carry(LogNote{LogLevel::kWarning, "announcement_ignored",
+                        FieldsOf(announcement.error())});
+        }
+        exchange->Reply(std::move(response));
+        Carry();
+      });
+}
+
+template <class Order, class OnOutcome>
+void StepAgentServer::Call(const Order& order, OnOutcome on_outcome) {
+  boost::asio::post(loop_.traffic(), [this, order, on_outcome] {
+    http_.Start(platform::ToCall(settings_.worker_address, order),
+                [this, on_outcome](const HttpOutcome& outcome) {
+                  boost::asio::post(loop_.control(),
+                                    [this, on_outcome, outcome] {
+                                      on_outcome(outcome, clock_.Now());
+                                      Carry();
+                                    });
+                });
+  });
+}
+
+void StepAgentServer::Carry(const StartRun& order) {
+  Call(order, [this, run = order.run](const HttpOutcome& outcome,
+                                      TimePoint now) {
+    session_.OnStartEnded(run, platform::ReadOrderOutcome(outcome), now);
+  });
+}
+
+void StepAgentServer::Carry(const StopRun& order) {
+  Call(order, [this, run = order.run](const HttpOutcome& outcome,
+                                      TimePoint now) {
+    session_.OnStopEnded(run, platform::ReadOrderOutcome(outcome), now);
+  });
+}
+
+void StepAgentServer::Carry(const HoldRuns& order) {
+  Call(order, [this](const HttpOutcome& outcome, TimePoint now) {
+    session_.OnHoldEnded(platform::ReadHoldOutcome(outcome), now);
+    session_.AfterEvents(now);
+  });
+}
+
+// ---- what the decisions ask for
+
+void StepAgentServer::Carry() {
+  for (const SessionAction& action : session_.TakeActions()) {
+    std::visit([this](const auto& typed) { Carry(typed); }, action);
+  }
+  links_.Flush();
+}
+
+void StepAgentServer::Carry(const SendMessage& action) {
+  links_.Send(action.link, action.message);
+}
+
+void StepAgentServer::Carry(const ConnectEntry& action) {
+  links_.Keep(action.address);
+}
+
+void StepAgentServer::Carry(const CloseLink& action) {
+  links_.Cut(action.link);
+}
+
+void StepAgentServer::Carry(const LogNote& note) {
+  log_.Write(note, clock_.Now());
+}
+
+// ---- time and the end
+
+void StepAgentServer::OnTick() {
+  const TimePoint now = clock_.Now();
+  session_.OnTick(now);
+  Carry();
+  if (!leaving_since_) return;
+  const Duration since = now - *leaving_since_;
+  if (!stopped_runs_ && since >= settings_.grace - kStopMargin) {
+    stopped_runs_ = true;
+    session_.StopAll(now);
+    Carry();
+  }
+  const bool done = session_.IsIdle() && since >= kShutdownLinger;
+  if (!done && since < settings_.grace - kShutdownMargin) return;
+  LogChange(done ? LogLevel::kInfo : LogLevel::kWarning, "stopped", {});
+  exit_status_ = done ? 0 : 1;
+  loop_.Stop();
+}
+
+void StepAgentServer::OnTerminate(int count) {
+  if (count > 1) return;
+  leaving_since_ = clock_.Now();
+  session_.Leave(*leaving_since_);
+  LogChange(LogLevel::kInfo, "leaving", {});
+  Carry();
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/step_entry_server.h
@@ -0,0 +1,67 @@
+#ifndef GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
+#define GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "data_centre/route_follower.h"
+#include "entry/step_entry_node.h"
+#include "runtime/bounded_log.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+#include "runtime/peer_links.h"
+#include "runtime/process_loop.h"
+#include "settings/step_settings.h"
+
+namespace geranium {
+
+/// An entry for step jobs as a process: joins the decisions to callers, links,
+/// the operator's log and the clock. Members that end in a comment "traffic"
+/// are used on the traffic thread, all others on the control thread.
+class StepEntryServer {
+ public:
+  explicit StepEntryServer(StepEntrySettings settings);
+
+  /// Runs until it is told to terminate; returns the exit status.
+  int Run();
+
+ private:
+  using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+  void OnRequest(const ExchangePtr& exchange);       // traffic
+  void OnReadyRequest(const ExchangePtr& exchange);  // traffic
+  void Submit(const ExchangePtr& exchange);          // traffic
+  void AnswerQueue(const ExchangePtr& exchange, TimePoint now);
+  void Carry();
+  void Carry(const SendMessage& action);
+  void Carry(const ConnectEntry& action);
+  void Carry(const CloseLink& action);
+  void Carry(const AnswerStepJob& action);
+  void Carry(const LogNote& note);
+  void FollowOperator();
+  void OnOperatorLog(const LogStep& step, const HttpOutcome& outcome);
+  void OnTick();
+  void OnTerminate(int count);
+
+  StepEntrySettings settings_;
+  SystemClock clock_;
+  ProcessLoop loop_;
+  StepEntryNode node_;
+  RouteFollower follower_;
+  BoundedLog log_;
+  PeerLinks links_;
+  HttpClient http_;     // traffic
+  HttpServer callers_;  // traffic
+  HttpServer ready_;    // traffic
+  std::uint64_t next_caller_ = 1;
+  std::unordered_map<CallerHandle, ExchangePtr> waiting_;
+  std::optional<TimePoint> leaving_since_;
+  int exit_status_ = 0;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -1,68 +1,15 @@
 #include "settings/process_settings.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <random>
-#include <set>
+#include <string>
+
+#include "settings/ini_values.h"
 
 namespace geranium {
 namespace {
 
-constexpr std::int64_t kMostMs = 86'400'000;
 constexpr std::int64_t kMostSlots = 4096;
 
-bool IsAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  boost::system::error_code error;
-  boost::asio::ip::make_address(text.substr(0, colon), error);
-  if (error) return false;
-  int port = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, status] =
-      std::from_chars(text.data() + colon + 1, end, port);
-  return status == std::errc() && stop == end && port >= 1 && port <= 65535;
-}
-
-std::string ReadAddress(IniSection& section, const std::string& key) {
-  std::string address = section.Required(key);
-  if (!address.empty() && !IsAddress(address)) {
-    section.Refuse(key, "is '" + address +
-                            "'; allowed is an IP number, a colon and a port");
-  }
-  return address;
-}
-
-std::vector<std::string> ReadAddresses(IniSection& section,
-                                       const std::string& key) {
-  std::vector<std::string> addresses = section.List(key);
-  for (const std::string& address : addresses) {
-    if (IsAddress(address)) continue;
-    section.Refuse(key, "has '" + address +
-                            "'; allowed is an IP number, a colon and a port");
-  }
-  return addresses;
-}
-
-Duration ReadMs(IniSection& section, const std::string& key, Duration fallback,
-                std::int64_t least = 1) {
-  return Duration(section.Integer(key, fallback.ms(), least, kMostMs));
-}
-
-Result<void> AllowSections(const IniFile& file,
-                           const std::set<std::string>& allowed) {
-  for (const IniSection& section : file.sections()) {
-    if (allowed.contains(section.name())) continue;
-    std::string names;
-    for (const std::string& name : allowed) names += " [" + name + "]";
-    return Error{
-        ErrorCode::kInvalidSetting, "read settings", "",
-        "section [" + section.name() + "] is unknown; allowed are" + names,
-        Execution::kNotRun};
-  }
-  return boost::outcome_v2::success();
-}
-
 LogOutageRule ReadOutageRule(IniSection& section) {
   const std::string name = section.Text("log_outage", "majority");
   if (name == "stop") return LogOutageRule::kStop;
--- /dev/null
+++ b/src/settings/step_settings.cc
@@ -0,0 +1,94 @@
+#include "settings/step_settings.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "settings/ini_values.h"
+#include "settings/process_settings.h"
+
+namespace geranium {
+namespace {
+
+constexpr double kPerCent = 100.0;
+
+std::string ReadSharedSections(const IniFile& file,
+                               std::vector<std::string>& entries,
+                               Result<void>& result) {
+  IniSection peers = file.Section("peers");
+  entries = ReadAddresses(peers, "entries");
+  result = peers.Finish();
+  if (!result) return "";
+  IniSection platform = file.Section("platform");
+  std::string store = ReadAddress(platform, "store_address");
+  result = platform.Finish();
+  return store;
+}
+
+// A token from the time of day is above those of earlier agents; where the time
+// of day was set back, the worker's refusal raises it.
+std::uint64_t FirstFence() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+}
+
+}  // namespace
+
+bool HasPlatform(const IniFile& file) {
+  const auto sections = file.sections();
+  return std::any_of(
+      sections.begin(), sections.end(),
+      [](const IniSection& section) { return section.name() == "platform"; });
+}
+
+Result<StepEntrySettings> ReadStepEntrySettings(const IniFile& file) {
+  BOOST_OUTCOME_TRYV(AllowSections(file, {"entry", "peers", "platform"}));
+  StepEntrySettings settings;
+  StepEntryOptions& node = settings.node;
+  IniSection entry = file.Section("entry");
+  node.id = EntryId(entry.Required("id"));
+  node.link_address = ReadAddress(entry, "link_address");
+  node.scheduler.data_centre = DataCentreName(entry.Required("data_centre"));
+  node.scheduler.cross_rack_factor =
+      static_cast<double>(
+          entry.Integer("cross_rack_percent", 150, 100, 10'000)) /
+      kPerCent;
+  settings.caller_address = ReadAddress(entry, "caller_address");
+  settings.ready_address = ReadAddress(entry, "ready_address");
+  settings.grace =
+      Duration(entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) *
+               1000);
+  BOOST_OUTCOME_TRYV(entry.Finish());
+  Result<void> shared = boost::outcome_v2::success();
+  settings.store_address =
+      ReadSharedSections(file, settings.entry_addresses, shared);
+  BOOST_OUTCOME_TRYV(shared);
+  node.incarnation = Incarnation(DrawIncarnation());
+  node.scheduler.incarnation = node.incarnation;
+  node.seed = DrawIncarnation();
+  return settings;
+}
+
+Result<StepAgentSettings> ReadStepAgentSettings(const IniFile& file) {
+  BOOST_OUTCOME_TRYV(AllowSections(file, {"agent", "peers", "platform"}));
+  StepAgentSettings settings;
+  WorkerSessionOptions& node = settings.node;
+  IniSection agent = file.Section("agent");
+  node.name = agent.Required("id");
+  settings.registration_address = ReadAddress(agent, "registration_address");
+  settings.worker_address = ReadAddress(agent, "worker_address");
+  node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
+  node.stop_limit = ReadMs(agent, "stop_limit_ms", node.stop_limit);
+  settings.grace =
+      Duration(agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) *
+               1000);
+  BOOST_OUTCOME_TRYV(agent.Finish());
+  Result<void> shared = boost::outcome_v2::success();
+  (void)ReadSharedSections(file, settings.entry_addresses, shared);
+  BOOST_OUTCOME_TRYV(shared);
+  node.incarnation = Incarnation(DrawIncarnation());
+  node.first_fence = FirstFence();
+  return settings;
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/settings/step_settings.h
@@ -0,0 +1,41 @@
+#ifndef GERANIUM_SETTINGS_STEP_SETTINGS_H_
+#define GERANIUM_SETTINGS_STEP_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "entry/step_entry_node.h"
+#include "settings/ini.h"
+#include "worker/worker_session.h"
+
+namespace geranium {
+
+/// True if the settings are those of a process on a platform with an operator's
+/// log (docs/SETTINGS.md).
+bool HasPlatform(const IniFile& file);
+
+/// The settings of `geranium-entry` on a platform.
+struct StepEntrySettings {
+  StepEntryOptions node;
+  std::string caller_address;
+  std::string ready_address;
+  std::string store_address;
+  std::vector<std::string> entry_addresses;
+  Duration grace{6000};  ///< From SIGTERM to SIGKILL.
+};
+
+/// The settings of `geranium-agent` on a platform.
+struct StepAgentSettings {
+  WorkerSessionOptions node;
+  std::string registration_address;  ///< Where the worker announces itself.
+  std::string worker_address;        ///< Where the worker takes orders.
+  std::vector<std::string> entry_addresses;
+  Duration grace{6000};
+};
+
+Result<StepEntrySettings> ReadStepEntrySettings(const IniFile& file);
+Result<StepAgentSettings> ReadStepAgentSettings(const IniFile& file);
+
+}  // namespace geranium
+
+#endif  // GERANIUM_SETTINGS_STEP_SETTINGS_H_
--- /dev/null
+++ b/src/worker/worker_calls.h
@@ -0,0 +1,96 @@
+#ifndef GERANIUM_WORKER_WORKER_CALLS_H_
+#define GERANIUM_WORKER_WORKER_CALLS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "contract/step_job.h"
+#include "contract/task.h"
+
+namespace geranium {
+
+/// What a backend server tells its agent of itself.
+struct WorkerAnnouncement {
+  WorkerId id;
+  ServiceName service;
+  DataCentreName data_centre;
+  std::vector<std::string> labels;
+  Resources capacity;
+  bool draining = false;
+  std::uint64_t sequence = 0;  ///< Rises within one life.
+  std::int64_t clock_ms = 0;   ///< The backend server's own clock.
+  std::uint64_t born_ms = 0;   ///< Tells lives with the same id apart.
+};
+
+/// Orders the backend server to start a run.
+struct StartRun {
+  WorkerId worker;
+  TaskRun run;
+  std::string payload;
+  std::int64_t lease_until_ms = 0;  ///< On the backend server's clock.
+  std::uint64_t fence = 0;
+};
+
+struct StopRun {
+  WorkerId worker;
+  TaskRun run;
+  std::uint64_t fence = 0;
+};
+
+/// Renews the lease of all that runs, acknowledges ends and asks what runs.
+struct HoldRuns {
+  WorkerId worker;
+  std::optional<std::int64_t> lease_until_ms;  ///< Absent: a look only.
+  std::uint64_t fence = 0;
+  std::uint64_t acknowledged_end = 0;
+  Duration wait;  ///< The answer may wait this long for an end.
+};
+
+/// How the backend server took an order.
+enum class OrderReply {
+  kAccepted,
+  kFenced,      ///< It has seen a higher fencing token.
+  kSuperseded,  ///< It has seen a stop, an end or a higher run of the task.
+  kExpired,     ///< The lease had run out when the order arrived.
+  kNoRoom,
+  kUnhealthy,   ///< It did nothing and fails.
+  kOtherLife,   ///< The order was for another life of it.
+  kMalformed,
+  kNoAnswer,    ///< It may have done it, or may yet.
+};
+
+struct OrderOutcome {
+  OrderReply reply = OrderReply::kNoAnswer;
+  std::optional<std::int64_t> clock_ms;
+  std::string message;
+};
+
+enum class RunEnd { kDone, kFailed, kStopped };
+
+struct EndedRun {
+  std::uint64_t number = 0;  ///< Rises within one life.
+  TaskRun run;
+  RunEnd end = RunEnd::kStopped;
+};
+
+struct ListedRun {
+  TaskRun run;
+  int percent = 0;
+};
+
+struct HoldOutcome {
+  OrderReply reply = OrderReply::kNoAnswer;
+  std::optional<std::int64_t> clock_ms;
+  std::uint64_t born_ms = 0;
+  std::vector<ListedRun> running;
+  std::vector<EndedRun> ended;
+  std::string message;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_WORKER_WORKER_CALLS_H_
--- /dev/null
+++ b/src/worker/worker_session.h
@@ -0,0 +1,216 @@
+#ifndef GERANIUM_WORKER_WORKER_SESSION_H_
+#define GERANIUM_WORKER_WORKER_SESSION_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/log_note.h"
+#include "link/actions.h"
+#include "link/messages.h"
+#include "worker/run_record.h"
+#include "worker/worker_calls.h"
+
+namespace geranium {
+
+struct WorkerSessionOptions {
+  std::string name;
+  Incarnation incarnation;
+  std::uint64_t first_fence = 1;
+  Duration longest_lease{1000};
+  Duration stop_limit{50};  ///< The longest that a stop takes.
+};
+
+/// What the session's decisions ask of the world.
+using SessionAction = std::variant<SendMessage, ConnectEntry, CloseLink, StartRun, StopRun,
+                                   HoldRuns, LogNote>;
+
+/// Counts for metrics.
+struct SessionCounters {
+  std::uint64_t orders = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t done = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t bounced = 0;  ///< Orders returned without a start.
+  std::uint64_t in_doubt = 0;
+  std::uint64_t stalled = 0;
+};
+
+/// The decisions of an agent whose backend server runs sized tasks under a
+/// lease. It is that server's only caller, so it alone knows what may run
+/// there: it counts every order that may have been carried out against the
+/// capacity and never starts beyond it. Holds no socket, thread or clock.
+class WorkerSession {
+ public:
+  /// An entry that has not proved itself alive for this long loses its runs.
+  static constexpr Duration kEntrySilence{500};
+  /// A link on which nothing came for this long is dialled anew.
+  static constexpr Duration kLinkSilence{800};
+  /// Proofs of life are exchanged this often.
+  static constexpr Duration kHeartbeat{100};
+  /// An order that finds no room waits this long before it is returned.
+  static constexpr Duration kQueueLimit{120};
+  /// The lease that is asked for; renewed several times within it.
+  static constexpr Duration kLease{650};
+
+  explicit WorkerSession(WorkerSessionOptions options);
+
+  void KnowEntries(const std::vector<std::string>& addresses) {
+    known_entries_.insert(addresses.begin(), addresses.end());
+  }
+
+  void OnAnnouncement(const WorkerAnnouncement& announcement, TimePoint now);
+  /// The backend server says that it ends now.
+  void OnWorkerLeft(const WorkerId& worker, TimePoint now);
+  void OnStartEnded(const TaskRun& run, const OrderOutcome& outcome,
+                    TimePoint now);
+  void OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
+                   TimePoint now);
+  void OnHoldEnded(const HoldOutcome& outcome, TimePoint now);
+
+  void OnLinkUp(LinkId link, TimePoint now);
+  void OnLinkDown(LinkId link, TimePoint now);
+  void OnMessage(LinkId link, const Message& message, TimePoint now);
+  void OnTick(TimePoint now);
+  /// Asks again what runs, as soon as an answer has been taken.
+  void AfterEvents(TimePoint now) { Hold(now); }
+
+  /// Begins to leave: takes no more orders and lets what runs end.
+  void Leave(TimePoint now);
+  /// Stops what still runs.
+  void StopAll(TimePoint now);
+  bool IsIdle() const { return attempts_.empty(); }
+
+  std::vector<SessionAction> TakeActions();
+
+  bool IsAccepting(TimePoint now) const;
+  /// What runs, may run or is being stopped.
+  const Resources& in_use() const { return in_use_; }
+  const SessionCounters& counters() const { return counters_; }
+
+ private:
+  enum class State {
+    kQueued,
+    kStarting,  ///< The order was sent and not answered.
+    kInDoubt,   ///< The order's answer was lost.
+    kRunning,
+    kStopping,
+  };
+
+  struct Attempt {
+    StartTask order;
+    Incarnation entry;
+    State state = State::kQueued;
+    TimePoint since;      ///< When it came into its state.
+    TimePoint progressed; ///< When its share done last rose.
+    TimePoint began;
+    int percent = 0;
+    bool has_run = false;
+    std::optional<TimePoint> stop_accepted;
+    TimePoint stop_sent = TimePoint::Never();
+    std::string stop_reason;
+  };
+
+  struct Peer {
+    std::optional<Hello> hello;
+    std::optional<TimePoint> newest_sent_at;
+    TimePoint heard;
+    double cpu_received = 0;
+  };
+
+  /// What is kept of an entry beyond one link.
+  struct Entry {
+    LinkId link;
+    bool linked = false;
+    TimePoint proved = TimePoint::Never();  ///< Alive after this.
+    std::map<AttemptId, TaskEnd> unacknowledged;
+  };
+
+  void On(LinkId link, const Hello& hello, TimePoint now);
+  void On(LinkId link, const Members& members, TimePoint now);
+  void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
+  void On(LinkId link, const StartTask& order, TimePoint now);
+  void On(LinkId link, const StopTask& order, TimePoint now);
+  void On(LinkId link, const TaskEndAck& ack, TimePoint now);
+  template <class Other>
+  void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
+
+  std::string RefuseOrder(const Entry& entry, const StartTask& order,
+                          TimePoint now) const;
+  void StartQueued(TimePoint now);
+  void Start(Attempt& attempt, TimePoint now);
+  void Stop(Attempt& attempt, const std::string& reason, TimePoint now);
+  void SendStop(Attempt& attempt, TimePoint now);
+  void End(const AttemptId& id, AttemptEnd end, const std::string& reason,
+           TimePoint now);
+  void Tell(Incarnation entry, const TaskEnd& end);
+  void TakeEnds(const HoldOutcome& outcome, TimePoint now);
+  void Compare(const HoldOutcome& outcome, TimePoint sent_at, TimePoint now);
+  void CompareAttempt(Attempt& attempt, const ListedRun* listed,
+                      TimePoint sent_at, TimePoint now);
+  void StopStrangers(const HoldOutcome& outcome, TimePoint now);
+  void NoteLife(std::uint64_t born_ms, TimePoint now);
+  void BeginLife(TimePoint now);
+  void RaiseFence();
+  void Hold(TimePoint now);
+  void ExpireLease(TimePoint now);
+  void ExpireQueued(TimePoint now);
+  void StopForSilentEntries(TimePoint now);
+  void StopStalled(TimePoint now);
+  void CloseSilentLinks(TimePoint now);
+  void SendHeartbeats(TimePoint now);
+  void SendReports(TimePoint now);
+  WorkerCard Card() const;
+  WorkerReport Report(const Peer& peer, TimePoint now) const;
+  bool HasRoom(const Resources& size) const;
+  std::int64_t LeaseUntil(TimePoint now) const;
+  bool IsFresh(const Entry& entry, TimePoint now) const;
+  Attempt* FindByRun(const TaskRun& run);
+  void Send(LinkId link, Message message);
+  void Log(LogLevel level, const std::string& event, LogFields fields);
+
+  WorkerSessionOptions options_;
+  std::optional<WorkerAnnouncement> worker_;
+  std::uint64_t born_ms_ = 0;
+  std::int64_t clock_offset_ms_ = 0;  ///< Worker's clock less ours, at least.
+  std::uint64_t fence_;
+  std::uint64_t fence_step_;
+  std::uint64_t acknowledged_end_ = 0;
+  bool settled_ = false;
+  bool left_ = false;
+  bool leaving_ = false;
+  bool hold_running_ = false;
+  TimePoint hold_sent_;
+  std::uint64_t hold_fence_ = 0;
+  TimePoint next_hold_;
+  TimePoint answered_ = TimePoint::Never();
+  TimePoint lease_end_ = TimePoint::Never();
+  bool silent_ = false;
+  std::map<AttemptId, Attempt> attempts_;
+  std::map<TaskRun, AttemptId> by_run_;
+  std::map<TaskName, std::size_t> by_task_;
+  std::map<TaskRun, TimePoint> strangers_;  ///< When a stop was last sent.
+  std::map<LinkId, Peer> peers_;
+  std::map<Incarnation, Entry> entries_;
+  std::set<std::string> known_entries_;
+  Resources in_use_;
+  Resources queued_;
+  RunRecord record_;
+  WorkerCard sent_card_;
+  TimePoint next_heartbeat_;
+  TimePoint next_report_;
+  bool report_due_ = false;
+  SessionCounters counters_;
+  std::vector<SessionAction> actions_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_WORKER_WORKER_SESSION_H_
