Handle SIGHUP and a changed settings file; end no started job as failed without a cause

Change: SIGHUP and a look every 3 s reload the entries' addresses. A started job goes on while its caller waits; only what has not started is refused.

--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -219,10 +219,13 @@
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
-  if (entry_addresses_.insert(hello.link_address).second) {
-    actions_.emplace_back(ConnectEntry{hello.link_address});
-    SendMembers();
-  }
+  LearnEntry(hello.link_address);
+}
+
+void StepEntryNode::LearnEntry(const std::string& address) {
+  if (!entry_addresses_.insert(address).second) return;
+  actions_.emplace_back(ConnectEntry{address});
+  SendMembers();
 }
 
 void StepEntryNode::On(LinkId /*link*/, const Members& members,
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -51,6 +51,9 @@
 
   explicit StepEntryNode(StepEntryOptions options);
 
+  /// Dials an entry unless it is known, and tells the others of it.
+  void LearnEntry(const std::string& address);
+
   void OnSubmission(CallerHandle caller, StepSubmission submission,
                     TimePoint now);
   void OnCallerGone(CallerHandle caller, TimePoint now);
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -104,7 +104,9 @@
       Duration(static_cast<std::int64_t>(
           static_cast<double>(ChainEstimate(spec).ms()) * route.slack)) +
       route.target_latency;
-  job.limit = now + std::min(patience, goal * kWorthlessAfterGoals);
+  job.limit = now + patience;
+  job.hopeless = now + std::min(patience, goal * kWorthlessAfterGoals) -
+                 ChainEstimate(spec);
   const std::string unsupported = Unsupported(spec, route);
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
@@ -609,13 +611,15 @@
 void StepScheduler::ExpireJobs(TimePoint now) {
   std::vector<JobNumber> expired;
   for (const auto& [number, job] : jobs_) {
-    if (!job.answered && now >= job.limit) expired.push_back(number);
+    if (job.answered) continue;
+    const TimePoint end = job.may_have_run ? job.limit : job.hopeless;
+    if (now >= end) expired.push_back(number);
   }
   for (const JobNumber number : expired) {
     Job& job = jobs_.at(number);
     if (job.may_have_run) {
-      Answer(job, StepAnswer::kFailed, Duration(0),
-             "it cannot be completed in time", now);
+      Answer(job, StepAnswer::kAbandoned, Duration(0),
+             "its caller's time is over", now);
     } else {
       Answer(job, StepAnswer::kRefused, kRetryAfter, "no room in time", now);
     }
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -115,7 +115,8 @@
     StepJob spec;
     Route route;
     TimePoint submitted;
-    TimePoint limit;  ///< Its answer is worth nothing later.
+    TimePoint hopeless;  ///< Unstarted by then, it cannot be of use.
+    TimePoint limit;     ///< Nobody waits for its answer any more.
     std::vector<Step> steps;
     std::size_t waiting = 0;
     std::size_t attempts = 0;  ///< Orders that are not known to have ended.
--- a/src/programs/geranium_agent.cc
+++ b/src/programs/geranium_agent.cc
@@ -7,13 +7,18 @@
 
 namespace {
 
-int RunOnPlatform(const std::string& program, const geranium::IniFile& file,
-                  bool check) {
-  const auto settings = geranium::ReadStepAgentSettings(file);
+int RunOnPlatform(const std::string& program,
+                  const geranium::CommandLine& command_line) {
+  const auto read = [command_line]() -> geranium::Result<
+                                         geranium::StepAgentSettings> {
+    BOOST_OUTCOME_TRY(file, geranium::LoadSettings(command_line));
+    return geranium::ReadStepAgentSettings(file);
+  };
+  const auto settings = read();
   if (!settings) return geranium::FailSettings(program, settings.error());
-  if (check) return 0;
+  if (command_line.check) return 0;
   geranium::StartLogging(program, settings.value().node.name);
-  return geranium::StepAgentServer(settings.value()).Run();
+  return geranium::StepAgentServer(settings.value(), read).Run();
 }
 
 }  // namespace
@@ -29,7 +34,7 @@
   const auto file = geranium::LoadSettings(command_line);
   if (!file) return geranium::FailSettings(program, file.error());
   if (geranium::HasPlatform(file.value())) {
-    return RunOnPlatform(program, file.value(), command_line.check);
+    return RunOnPlatform(program, command_line);
   }
   const auto settings = geranium::ReadAgentSettings(file.value());
   if (!settings) return geranium::FailSettings(program, settings.error());
--- a/src/runtime/process_loop.cc
+++ b/src/runtime/process_loop.cc
@@ -13,12 +13,15 @@
   std::signal(SIGPIPE, SIG_IGN);
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
+  signals_.add(SIGHUP);
 }
 
 void ProcessLoop::Run(std::function<void()> on_tick,
-                      std::function<void(int)> on_terminate) {
+                      std::function<void(int)> on_terminate,
+                      std::function<void()> on_reload) {
   on_tick_ = std::move(on_tick);
   on_terminate_ = std::move(on_terminate);
+  on_reload_ = std::move(on_reload);
   const auto control_work = boost::asio::make_work_guard(control_);
   const auto traffic_work = boost::asio::make_work_guard(traffic_);
   WaitTick();
@@ -43,9 +46,13 @@
 }
 
 void ProcessLoop::WaitSignal() {
-  signals_.async_wait([this](const auto& error, int /*signal*/) {
+  signals_.async_wait([this](const auto& error, int signal) {
     if (error) return;
-    on_terminate_(++signal_count_);
+    if (signal == SIGHUP) {
+      on_reload_();
+    } else {
+      on_terminate_(++signal_count_);
+    }
     WaitSignal();
   });
 }
--- a/src/runtime/process_loop.h
+++ b/src/runtime/process_loop.h
@@ -22,9 +22,10 @@
   boost::asio::io_context& traffic() { return traffic_; }
 
   /// Runs until `Stop`. `on_tick` is called at every tick, `on_terminate` at
-  /// each SIGTERM or SIGINT with how many there were.
+  /// each SIGTERM or SIGINT with how many there were, `on_reload` at SIGHUP.
   void Run(std::function<void()> on_tick,
-           std::function<void(int count)> on_terminate);
+           std::function<void(int count)> on_terminate,
+           std::function<void()> on_reload = [] {});
   void Stop();
 
  private:
@@ -37,6 +38,7 @@
   boost::asio::signal_set signals_;
   std::function<void()> on_tick_;
   std::function<void(int)> on_terminate_;
+  std::function<void()> on_reload_;
   int signal_count_ = 0;
 };
 
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kLongestDialWait{500};
+/// The settings file is looked at this often, besides at SIGHUP.
+constexpr Duration kReloadInterval{3000};
 /// Entries learn of the leaving agent within this time and send nothing more.
 constexpr Duration kShutdownLinger{300};
 /// Left before SIGKILL for stopping what still runs and for telling entries.
@@ -18,8 +20,9 @@
 
 }  // namespace
 
-StepAgentServer::StepAgentServer(StepAgentSettings settings)
+StepAgentServer::StepAgentServer(StepAgentSettings settings, Reload reload)
     : settings_(std::move(settings)),
+      reload_(std::move(reload)),
       session_(settings_.node),
       links_(loop_.control(), loop_.traffic(),
              PeerLinks::Handlers{
@@ -53,7 +56,8 @@
   for (const std::string& address : settings_.entry_addresses) {
     links_.Keep(address);
   }
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); });
+  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
+            [this] { ReloadSettings(true); });
   return exit_status_;
 }
 
@@ -158,6 +162,10 @@
   const TimePoint now = clock_.Now();
   session_.OnTick(now);
   Carry();
+  if (now >= next_reload_) {
+    next_reload_ = now + kReloadInterval;
+    ReloadSettings(false);
+  }
   if (!leaving_since_) return;
   const Duration since = now - *leaving_since_;
   if (!stopped_runs_ && since >= settings_.grace - kStopMargin) {
@@ -172,6 +180,29 @@
   loop_.Stop();
 }
 
+// Only the entries' addresses may change while the process runs; the file may
+// change without a signal.
+void StepAgentServer::ReloadSettings(bool asked) {
+  const auto settings = reload_();
+  if (!settings) {
+    if (asked) {
+      LogChange(LogLevel::kError, "reload_failed", FieldsOf(settings.error()));
+    }
+    return;
+  }
+  const std::vector<std::string>& addresses =
+      settings.value().entry_addresses;
+  const bool changed = addresses != settings_.entry_addresses;
+  if (asked || changed) {
+    LogChange(LogLevel::kInfo, "settings_reloaded",
+              {{"entries_changed", changed ? "true" : "false"}});
+  }
+  settings_.entry_addresses = addresses;
+  if (!changed) return;
+  for (const std::string& address : addresses) session_.LearnEntry(address);
+  Carry();
+}
+
 void StepAgentServer::OnTerminate(int count) {
   if (count > 1) return;
   leaving_since_ = clock_.Now();
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_RUNTIME_STEP_AGENT_SERVER_H_
 #define GERANIUM_RUNTIME_STEP_AGENT_SERVER_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -20,7 +21,10 @@
 /// traffic thread, all others on the control thread.
 class StepAgentServer {
  public:
-  explicit StepAgentServer(StepAgentSettings settings);
+  using Reload = std::function<Result<StepAgentSettings>()>;
+
+  /// `reload` reads the settings file anew.
+  StepAgentServer(StepAgentSettings settings, Reload reload);
 
   /// Runs until it is told to terminate; returns the exit status.
   int Run();
@@ -41,8 +45,11 @@
   void Call(const Order& order, OnOutcome on_outcome);
   void OnTick();
   void OnTerminate(int count);
+  void ReloadSettings(bool asked);
 
   StepAgentSettings settings_;
+  Reload reload_;
+  TimePoint next_reload_;
   SystemClock clock_;
   ProcessLoop loop_;
   WorkerSession session_;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -14,6 +14,8 @@
 
 /// Entries and agents that return are linked again within about a second.
 constexpr Duration kLongestDialWait{500};
+/// The settings file is looked at this often, besides at SIGHUP.
+constexpr Duration kReloadInterval{3000};
 /// After SIGTERM, requests are still taken in for this long, until the
 /// platform has seen that the entry is not ready.
 constexpr Duration kShutdownLinger{2200};
@@ -22,8 +24,9 @@
 
 }  // namespace
 
-StepEntryServer::StepEntryServer(StepEntrySettings settings)
+StepEntryServer::StepEntryServer(StepEntrySettings settings, Reload reload)
     : settings_(std::move(settings)),
+      reload_(std::move(reload)),
       node_(settings_.node),
       links_(loop_.control(), loop_.traffic(),
              PeerLinks::Handlers{
@@ -67,7 +70,8 @@
     if (address != link_address) links_.Keep(address);
   }
   boost::asio::post(loop_.control(), [this] { FollowOperator(); });
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); });
+  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
+            [this] { ReloadSettings(true); });
   return exit_status_;
 }
 
@@ -225,6 +229,10 @@
   const TimePoint now = clock_.Now();
   node_.OnTick(now);
   Carry();
+  if (now >= next_reload_) {
+    next_reload_ = now + kReloadInterval;
+    ReloadSettings(false);
+  }
   if (!leaving_since_) return;
   const Duration since = now - *leaving_since_;
   const bool done = node_.IsIdle() && callers_.unanswered() == 0 &&
@@ -236,6 +244,29 @@
   loop_.Stop();
 }
 
+// Only the entries' addresses may change while the process runs; the file may
+// change without a signal.
+void StepEntryServer::ReloadSettings(bool asked) {
+  const auto settings = reload_();
+  if (!settings) {
+    if (asked) {
+      LogChange(LogLevel::kError, "reload_failed", FieldsOf(settings.error()));
+    }
+    return;
+  }
+  const std::vector<std::string>& addresses =
+      settings.value().entry_addresses;
+  const bool changed = addresses != settings_.entry_addresses;
+  if (asked || changed) {
+    LogChange(LogLevel::kInfo, "settings_reloaded",
+              {{"entries_changed", changed ? "true" : "false"}});
+  }
+  settings_.entry_addresses = addresses;
+  if (!changed) return;
+  for (const std::string& address : addresses) node_.LearnEntry(address);
+  Carry();
+}
+
 void StepEntryServer::OnTerminate(int count) {
   if (count > 1) return;
   leaving_since_ = clock_.Now();
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -23,7 +23,10 @@
 /// are used on the traffic thread, all others on the control thread.
 class StepEntryServer {
  public:
-  explicit StepEntryServer(StepEntrySettings settings);
+  using Reload = std::function<Result<StepEntrySettings>()>;
+
+  /// `reload` reads the settings file anew.
+  StepEntryServer(StepEntrySettings settings, Reload reload);
 
   /// Runs until it is told to terminate; returns the exit status.
   int Run();
@@ -45,8 +48,11 @@
   void OnOperatorLog(const LogStep& step, const HttpOutcome& outcome);
   void OnTick();
   void OnTerminate(int count);
+  void ReloadSettings(bool asked);
 
   StepEntrySettings settings_;
+  Reload reload_;
+  TimePoint next_reload_;
   SystemClock clock_;
   ProcessLoop loop_;
   StepEntryNode node_;
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -588,9 +588,7 @@
 void WorkerSession::On(LinkId /*link*/, const Members& members,
                        TimePoint /*now*/) {
   for (const std::string& address : members.entry_addresses) {
-    if (known_entries_.insert(address).second) {
-      actions_.emplace_back(ConnectEntry{address});
-    }
+    LearnEntry(address);
   }
 }
 
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -66,6 +66,13 @@
     known_entries_.insert(addresses.begin(), addresses.end());
   }
 
+  /// Dials an entry unless it is known.
+  void LearnEntry(const std::string& address) {
+    if (known_entries_.insert(address).second) {
+      actions_.emplace_back(ConnectEntry{address});
+    }
+  }
+
   void OnAnnouncement(const WorkerAnnouncement& announcement, TimePoint now);
   /// The backend server says that it ends now.
   void OnWorkerLeft(const WorkerId& worker, TimePoint now);
