Shorten the waits while answers are lost; place jobs that can meet their goal first

A lost hold hid all ends for up to 250 ms and an unanswered start held its room for about 300 ms, so that workers stood idle while jobs queued; late jobs were served before those that could still be in time. Ruled out: too little capacity (86 % needed in the burst).

--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -104,9 +104,10 @@
       Duration(static_cast<std::int64_t>(
           static_cast<double>(ChainEstimate(spec).ms()) * route.slack)) +
       route.target_latency;
+  const Duration chain = ChainEstimate(spec);
   job.limit = now + patience;
-  job.hopeless = now + std::min(patience, goal * kWorthlessAfterGoals) -
-                 ChainEstimate(spec);
+  job.latest_start = now + goal - chain;
+  job.hopeless = now + std::min(patience, goal * kWorthlessAfterGoals) - chain;
   const std::string unsupported = Unsupported(spec, route);
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
@@ -123,13 +124,60 @@
   } else if (!fits) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter,
            "no known worker can hold it", now);
+  } else if (now + ExpectedWait(route.priority) > kept.hopeless) {
+    Answer(kept, StepAnswer::kRefused, kRetryAfter, "the queue is too long",
+           now);
   } else {
     Unblock(kept);
-    if (kept.waiting > 0) waiting_.emplace(route.priority, number);
+    if (kept.waiting > 0) waiting_.insert(PlaceOf(kept, number));
   }
   ForgetIfDone(number);
 }
 
+double StepScheduler::Capacity(TimePoint now) const {
+  double cpu = 0;
+  for (const auto& [agent, worker] : workers_) {
+    const bool counts = worker.link && worker.card &&
+                        worker.report.accepting && !worker.report.failing &&
+                        now - worker.heard <= kSilent;
+    if (counts) cpu += worker.card->capacity.cpu;
+  }
+  return cpu;
+}
+
+// The work that waits ahead, done by this entry's share of the workers.
+Duration StepScheduler::ExpectedWait(int priority) const {
+  double core_ms = 0;
+  for (const Place& place : waiting_) {
+    if (place.late || place.priority > priority) continue;
+    const Job& job = jobs_.at(place.number);
+    for (std::size_t s = 0; s < job.steps.size(); ++s) {
+      const StepSpec& step = job.spec.steps[s];
+      core_ms += static_cast<double>(job.steps[s].waiting) * step.size.cpu *
+                 static_cast<double>(step.estimate.ms());
+    }
+  }
+  const double share = capacity_ / static_cast<double>(entry_count_);
+  if (core_ms <= 0) return Duration(0);
+  return Duration(static_cast<std::int64_t>(core_ms / std::max(share, 0.1)));
+}
+
+void StepScheduler::MoveLateJobs(TimePoint now) {
+  std::vector<JobNumber> late;
+  for (const Place& place : waiting_) {
+    const Job& job = jobs_.at(place.number);
+    const bool is_late =
+        !job.late && !job.may_have_run && now > job.latest_start;
+    if (is_late) late.push_back(place.number);
+  }
+  for (const JobNumber number : late) {
+    Job& job = jobs_.at(number);
+    waiting_.erase(PlaceOf(job, number));
+    job.late = true;
+    waiting_.insert(PlaceOf(job, number));
+  }
+}
+
 void StepScheduler::Unblock(Job& job) {
   for (std::size_t index = 0; index < job.steps.size(); ++index) {
     Step& step = job.steps[index];
@@ -206,9 +254,9 @@
 void StepScheduler::Pump(TimePoint now) {
   // Once nothing of a shape could be placed, later ones of it cannot either.
   std::set<std::pair<double, std::string>> full;
-  std::vector<std::pair<int, JobNumber>> emptied;
-  for (const auto& key : waiting_) {
-    Job& job = jobs_.at(key.second);
+  std::vector<Place> emptied;
+  for (const Place& key : waiting_) {
+    Job& job = jobs_.at(key.number);
     if (job.held) continue;
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
       Step& step = job.steps[s];
@@ -217,12 +265,12 @@
       for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
         if (step.tasks[t].state != TaskState::kWaiting) continue;
         if (full.contains(shape)) break;
-        if (!PlaceTask(key.second, job, s, t, now)) full.insert(shape);
+        if (!PlaceTask(key.number, job, s, t, now)) full.insert(shape);
       }
     }
     if (job.waiting == 0) emptied.push_back(key);
   }
-  for (const auto& key : emptied) waiting_.erase(key);
+  for (const Place& key : emptied) waiting_.erase(key);
 }
 
 bool StepScheduler::PlaceTask(JobNumber number, Job& job, std::size_t step,
@@ -404,7 +452,7 @@
         break;
     }
     if (!job.answered && job.waiting > 0) {
-      waiting_.emplace(job.route.priority, attempt.job);
+      waiting_.insert(PlaceOf(job, attempt.job));
     }
   }
   ForgetIfDone(attempt.job);
@@ -489,7 +537,7 @@
   const auto found = jobs_.find(number);
   Job& job = found->second;
   if (!job.answered) return;
-  waiting_.erase({job.route.priority, number});
+  waiting_.erase(PlaceOf(job, number));
   if (job.attempts > 0) return;
   if (job.given_up) given_up_.push_back(job.spec.id);
   const auto by_id = by_id_.find(job.spec.id);
@@ -603,8 +651,10 @@
 // ---- time
 
 void StepScheduler::OnTick(TimePoint now) {
+  capacity_ = Capacity(now);
   LoseSilentWorkers(now);
   ExpireJobs(now);
+  MoveLateJobs(now);
   Pump(now);
 }
 
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -80,6 +80,8 @@
   void On(LinkId link, const AttemptList& list, TimePoint now);
   void On(LinkId link, const TaskEnd& end, TimePoint now);
 
+  /// The number of entries among which the workers' capacity is shared.
+  void SetEntryCount(std::size_t entries) { entry_count_ = entries; }
   void SetTable(const RouteTable* table) { table_ = table; }
   void OnTick(TimePoint now);
   /// Places what waits; to be called after a batch of messages.
@@ -115,17 +117,29 @@
     StepJob spec;
     Route route;
     TimePoint submitted;
+    /// Started later than this it misses its response-time goal.
+    TimePoint latest_start;
     TimePoint hopeless;  ///< Unstarted by then, it cannot be of use.
     TimePoint limit;     ///< Nobody waits for its answer any more.
     std::vector<Step> steps;
     std::size_t waiting = 0;
     std::size_t attempts = 0;  ///< Orders that are not known to have ended.
     bool held = false;
+    bool late = false;  ///< Past its latest start with nothing started.
     bool answered = false;
     bool given_up = false;
     bool may_have_run = false;
   };
 
+  /// A place in the queue: jobs that can meet their goal come first, then the
+  /// more urgent, then the older.
+  struct Place {
+    bool late = false;
+    int priority = 0;
+    JobNumber number = 0;
+    auto operator<=>(const Place&) const = default;
+  };
+
   struct Worker {
     Incarnation agent;
     std::optional<LinkId> link;
@@ -154,6 +168,12 @@
     const std::optional<WorkerId>* avoid = nullptr;
   };
 
+  static Place PlaceOf(const Job& job, JobNumber number) {
+    return {job.late, job.route.priority, number};
+  }
+  Duration ExpectedWait(int priority) const;
+  double Capacity(TimePoint now) const;
+  void MoveLateJobs(TimePoint now);
   std::string Unsupported(const StepJob& job, const Route& route) const;
   Duration ChainEstimate(const StepJob& job) const;
   void Unblock(Job& job);
@@ -193,11 +213,13 @@
   std::map<JobNumber, Job> jobs_;
   std::unordered_map<CallerHandle, JobNumber> by_caller_;
   std::unordered_map<StepJobId, JobNumber> by_id_;
-  /// Jobs with waiting tasks, by priority and age.
-  std::set<std::pair<int, JobNumber>> waiting_;
+  /// Jobs with waiting tasks.
+  std::set<Place> waiting_;
   std::map<Incarnation, Worker> workers_;
   std::unordered_map<LinkId, Incarnation> by_link_;
   std::unordered_map<AttemptId, Attempt> attempts_;
+  std::size_t entry_count_ = 1;
+  double capacity_ = 0;  ///< Processors of all accepting workers.
   std::vector<StepJobId> given_up_;
   StepCounters counters_;
   std::vector<StepAction> actions_;
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -6,11 +6,16 @@
 namespace geranium {
 namespace {
 
-/// How long an order's answer is waited for on the same machine; the caller of
-/// the order uses it as its timeout and reports kNoAnswer.
-constexpr Duration kStopRetry{100};
+/// A stop whose answer did not come is sent again after this long; an answer
+/// from the same machine takes a few milliseconds.
+constexpr Duration kStopRetry{60};
 /// Wait of a hold while something runs, so that progress is seen in time.
-constexpr Duration kBusyWait{100};
+constexpr Duration kBusyWait{80};
+/// Wait of a hold after one was lost: while answers get lost, a short wait
+/// keeps the time short in which ends go unseen.
+constexpr Duration kLossyWait{20};
+/// How long after a lost answer more losses are expected.
+constexpr Duration kLossyPeriod{3000};
 /// Wait while nothing runs: well within the lease of the next start.
 constexpr Duration kIdleWait{300};
 /// Wait while an order is in doubt.
@@ -80,7 +85,7 @@
   if (draining_began) {
     Log(LogLevel::kInfo, "worker_draining",
         {{"worker", announcement.id.value()}});
-    ExpireQueued(now + kQueueLimit + Duration(1));
+    ReturnQueued("the worker drains", now);
   }
   report_due_ = true;
 }
@@ -90,7 +95,7 @@
   left_ = true;
   report_due_ = true;
   Log(LogLevel::kInfo, "worker_left", {{"worker", worker.value()}});
-  ExpireQueued(now + kQueueLimit + Duration(1));
+  ReturnQueued("the worker has left", now);
 }
 
 // Runs of the earlier life have ended with it. An order that was sent to it may
@@ -156,6 +161,9 @@
       hold.wait = std::min(hold.wait, kBusyWait);
     }
   }
+  if (now - lost_answer_ < kLossyPeriod) {
+    hold.wait = std::min(hold.wait, kLossyWait);
+  }
   if (!settled_) hold.wait = Duration(0);
   actions_.emplace_back(std::move(hold));
 }
@@ -164,7 +172,10 @@
   hold_running_ = false;
   const TimePoint sent_at = hold_sent_;
   if (outcome.reply != OrderReply::kAccepted) {
-    next_hold_ = now + kHoldRetry;
+    const bool lost = outcome.reply == OrderReply::kNoAnswer;
+    if (lost) lost_answer_ = now;
+    next_hold_ = lost && now - answered_ < kWorkerSilence ? now
+                                                          : now + kHoldRetry;
     if (outcome.reply == OrderReply::kFenced && hold_fence_ == fence_) {
       RaiseFence();
     }
@@ -302,7 +313,7 @@
     Log(LogLevel::kWarning, "worker_silent",
         {{"worker", worker_->id.value()},
          {"silent_ms", std::to_string((now - answered_).ms())}});
-    ExpireQueued(now + kQueueLimit + Duration(1));
+    ReturnQueued("the worker is silent", now);
   }
   const Duration slack = kLease * kClockSlack / 100 + kLeaseMargin;
   if (now < lease_end_ + slack) return;
@@ -428,8 +439,12 @@
       break;
     case OrderReply::kNoAnswer:
       ++counters_.in_doubt;
+      lost_answer_ = now;
       attempt->state = State::kInDoubt;
       attempt->since = now;
+      // Does no harm if the order was not carried out, and keeps it from being
+      // carried out later.
+      Stop(*attempt, "in doubt", now);
       Log(LogLevel::kWarning, "start_unanswered",
           {{"task", run.task.value()}, {"message", outcome.message}});
       break;
@@ -507,13 +522,14 @@
   if (--by_task_[attempt.order.run.task] == 0) {
     by_task_.erase(attempt.order.run.task);
   }
-  const bool ordinary = end == AttemptEnd::kDone || reason == "cancelled";
+  const bool ordinary = end == AttemptEnd::kDone || reason == "cancelled" ||
+                        attempt.state == State::kQueued;
   if (!ordinary) {
     Log(LogLevel::kInfo, "attempt_ended",
         {{"task", attempt.order.run.task.value()},
          {"run", std::to_string(attempt.order.run.run)},
          {"reason", reason},
-         {"age_ms", std::to_string((now - attempt.began).ms())}});
+         {"age_ms", std::to_string((now - attempt.since).ms())}});
   }
   const Incarnation entry = attempt.entry;
   attempts_.erase(found);
@@ -623,15 +639,25 @@
 }
 
 void WorkerSession::ExpireQueued(TimePoint now) {
+  ReturnQueuedBefore(now - kQueueLimit, "no room in time", now);
+}
+
+void WorkerSession::ReturnQueued(const std::string& reason, TimePoint now) {
+  ReturnQueuedBefore(now + Duration(1), reason, now);
+}
+
+void WorkerSession::ReturnQueuedBefore(TimePoint before,
+                                       const std::string& reason,
+                                       TimePoint now) {
   std::vector<AttemptId> expired;
   for (const auto& [id, attempt] : attempts_) {
-    if (attempt.state == State::kQueued && now - attempt.since > kQueueLimit) {
+    if (attempt.state == State::kQueued && attempt.since < before) {
       expired.push_back(id);
     }
   }
   for (const AttemptId& id : expired) {
     ++counters_.bounced;
-    End(id, AttemptEnd::kNotStarted, "no room in time", now);
+    End(id, AttemptEnd::kNotStarted, reason, now);
   }
 }
 
@@ -730,7 +756,7 @@
 void WorkerSession::Leave(TimePoint now) {
   leaving_ = true;
   report_due_ = true;
-  ExpireQueued(now + kQueueLimit + Duration(1));
+  ReturnQueued("the agent is leaving", now);
 }
 
 void WorkerSession::StopAll(TimePoint now) {
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -56,7 +56,7 @@
   /// Proofs of life are exchanged this often.
   static constexpr Duration kHeartbeat{100};
   /// An order that finds no room waits this long before it is returned.
-  static constexpr Duration kQueueLimit{120};
+  static constexpr Duration kQueueLimit{250};
   /// The lease that is asked for; renewed several times within it.
   static constexpr Duration kLease{650};
 
@@ -169,6 +169,9 @@
   void Hold(TimePoint now);
   void ExpireLease(TimePoint now);
   void ExpireQueued(TimePoint now);
+  void ReturnQueued(const std::string& reason, TimePoint now);
+  void ReturnQueuedBefore(TimePoint before, const std::string& reason,
+                          TimePoint now);
   void StopForSilentEntries(TimePoint now);
   void StopStalled(TimePoint now);
   void CloseSilentLinks(TimePoint now);
@@ -198,6 +201,7 @@
   std::uint64_t hold_fence_ = 0;
   TimePoint next_hold_;
   TimePoint answered_ = TimePoint::Never();
+  TimePoint lost_answer_ = TimePoint::Never();
   TimePoint lease_end_ = TimePoint::Never();
   bool silent_ = false;
   std::map<AttemptId, Attempt> attempts_;
