--- /dev/null
+++ b/bench/step_experiment.cc
@@ -0,0 +1,117 @@
+// Plays a day of step jobs on modelled workers and prints what callers get and
+// how busy the workers are, window by window.
+#include <cxxopts.hpp>
+#include <iomanip>
+#include <iostream>
+
+#include "step_world.h"
+
+namespace {
+
+using geranium::Duration;
+using geranium::TimePoint;
+using geranium::standins::StepWorld;
+
+struct Snapshot {
+  double running = 0;   ///< Processors in use at workers.
+  double reserved = 0;  ///< Processors that agents count as in use.
+  double capacity = 0;
+};
+
+Snapshot Look(StepWorld& world, int workers) {
+  Snapshot snapshot;
+  for (int i = 0; i < workers; ++i) {
+    snapshot.running += world.worker(i).in_use().cpu;
+    snapshot.reserved += world.session(i).in_use().cpu;
+    snapshot.capacity += world.worker(i).self().capacity.cpu;
+  }
+  return snapshot;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("geranium-step-experiment",
+                           "Plays step jobs on modelled workers.");
+  options.add_options()("h,help", "print this page")(
+      "factor", "load against the users' ordinary rates",
+      cxxopts::value<double>()->default_value("1"))(
+      "seconds", "length", cxxopts::value<int>()->default_value("8"))(
+      "seed", "random seed",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "workers", "number of workers",
+      cxxopts::value<int>()->default_value("11"))(
+      "entries", "number of entries",
+      cxxopts::value<int>()->default_value("4"))(
+      "unanswered", "share of orders without an answer",
+      cxxopts::value<double>()->default_value("0"))(
+      "slow", "factor by which worker 2 is slow, from half of the length on",
+      cxxopts::value<double>()->default_value("1"))(
+      "hang", "worker 5 hangs, from half of the length on");
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help() << "\n";
+    return 0;
+  }
+  geranium::standins::StepWorldOptions world_options;
+  world_options.seed = parsed["seed"].as<std::uint64_t>();
+  world_options.workers = parsed["workers"].as<int>();
+  world_options.entries = parsed["entries"].as<int>();
+  world_options.load =
+      geranium::standins::UsersLoad(parsed["factor"].as<double>());
+  StepWorld world(world_options);
+  for (int i = 0; i < world_options.workers; ++i) {
+    world.faults(i).unanswered = parsed["unanswered"].as<double>();
+  }
+  const TimePoint end(1600 + 1000 * parsed["seconds"].as<int>());
+  world.At(TimePoint((1600 + end.ms()) / 2), [&] {
+    world.faults(2).slow = parsed["slow"].as<double>();
+    world.faults(5).hangs = parsed.count("hang") > 0;
+  });
+  std::cout << std::fixed << std::setprecision(2)
+            << "   ms  busy reserved  open  asked in goal late refused\n";
+  constexpr Duration kWindow{500};
+  geranium::standins::ClassReport before;
+  for (TimePoint until(1600); until < end + Duration(3000);
+       until = until + kWindow) {
+    Snapshot sum;
+    int samples = 0;
+    for (; world.now() < until; ++samples) {
+      world.Run(world.now() + Duration(10), world.now() < end);
+      const Snapshot now = Look(world, world_options.workers);
+      sum.running += now.running;
+      sum.reserved += now.reserved;
+      sum.capacity += now.capacity;
+    }
+    geranium::standins::ClassReport total;
+    for (const auto& [name, report] : world.Report()) {
+      total.asked += report.asked;
+      total.in_goal += report.in_goal;
+      total.late += report.late + report.useless;
+      total.refused += report.refused;
+    }
+    std::size_t open = 0;
+    for (int i = 0; i < world_options.entries; ++i) {
+      open += world.entry(i).scheduler().open_jobs();
+    }
+    if (sum.capacity > 0) {
+      std::cout << std::setw(5) << until.ms() << std::setw(6)
+                << sum.running / sum.capacity << std::setw(9)
+                << sum.reserved / sum.capacity << std::setw(6) << open
+                << std::setw(7) << total.asked - before.asked << std::setw(8)
+                << total.in_goal - before.in_goal << std::setw(5)
+                << total.late - before.late << std::setw(8)
+                << total.refused - before.refused << "\n";
+    }
+    before = total;
+  }
+  for (const auto& [name, report] : world.Report()) {
+    std::cout << name << ": asked " << report.asked << ", in goal "
+              << report.in_goal << ", late " << report.late << ", useless "
+              << report.useless << ", refused " << report.refused << ", failed "
+              << report.failed << ", worth " << report.Worth() << "\n";
+  }
+  std::cout << "worth " << world.Worth() << ", violations "
+            << world.violations().size() << "\n";
+  return world.violations().empty() ? 0 : 1;
+}
--- a/src/contract/operator_record.h
+++ b/src/contract/operator_record.h
@@ -31,7 +31,7 @@
 /// What one read of the log after an offset brought.
 struct OperatorRecords {
   std::vector<OperatorRecord> records;
-  LogOffset end;  ///< One past the newest record of the log.
+  LogOffset end;         ///< One past the newest record of the log.
   bool expired = false;  ///< The offset asked for is no longer kept.
 };
 
--- a/src/contract/route_table.h
+++ b/src/contract/route_table.h
@@ -28,8 +28,8 @@
 
   template <class A>
   void Fields(A& a) {
-    a(name)(host)(path_prefix)(service)(priority)(timeout)(target_latency)(
-        slack)(max_attempts)(needs_advice);
+    a(name)(host)(
+        path_prefix)(service)(priority)(timeout)(target_latency)(slack)(max_attempts)(needs_advice);
   }
 };
 
--- a/src/contract/step_job.h
+++ b/src/contract/step_job.h
@@ -49,7 +49,7 @@
   StepJobId id;
   std::string payload;  ///< Handed to every task.
   std::vector<StepSpec> steps;
-  bool stored = false;           ///< Has to outlive the entry.
+  bool stored = false;            ///< Has to outlive the entry.
   std::uint32_t repetitions = 0;  ///< Scheduled occurrences; 0: runs once.
 };
 
--- a/src/data_centre/route_follower.cc
+++ b/src/data_centre/route_follower.cc
@@ -33,8 +33,8 @@
                        {"message", error.message}}});
   }
   out_of_reach_ = true;
-  pause_ = pause_ == Duration(0) ? kFirstPause
-                                 : std::min(kLongestPause, pause_ * 2);
+  pause_ =
+      pause_ == Duration(0) ? kFirstPause : std::min(kLongestPause, pause_ * 2);
 }
 
 void RouteFollower::Succeed() {
--- a/src/entry/step_actions.h
+++ b/src/entry/step_actions.h
@@ -13,11 +13,11 @@
 
 enum class StepAnswer {
   kCompleted,
-  kFailed,      ///< It ran and cannot be completed.
-  kRefused,     ///< Nothing of it has run or will.
+  kFailed,   ///< It ran and cannot be completed.
+  kRefused,  ///< Nothing of it has run or will.
   kNoRoute,
-  kUnsupported, ///< As kRefused; sending it again does not help.
-  kAbandoned,   ///< It may have run and is given up.
+  kUnsupported,  ///< As kRefused; sending it again does not help.
+  kAbandoned,    ///< It may have run and is given up.
 };
 
 /// The one answer to a step job's caller.
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -85,8 +85,8 @@
   if (found == elsewhere_.end()) return false;
   const Incarnation entry = found->second.entry;
   const auto heard = entry_heard_.find(entry);
-  const bool long_gone = heard == entry_heard_.end() ||
-                         now - heard->second > StepScheduler::kLost;
+  const bool long_gone =
+      heard == entry_heard_.end() || now - heard->second > StepScheduler::kLost;
   if (long_gone) return false;
   handovers_[job] = Handover{entry, now};
   if (const auto link = LinkOf(entry)) Send(*link, JobHandoverRequest{job});
@@ -248,8 +248,7 @@
                        TimePoint /*now*/) {
   Peer& peer = peers_[link];
   peer.newest_sent_at = heartbeat.sent_at;
-  const bool from_entry =
-      peer.hello && peer.hello->role == ProcessRole::kEntry;
+  const bool from_entry = peer.hello && peer.hello->role == ProcessRole::kEntry;
   const bool behind = heartbeat.version.value() > table_.offset.value();
   if (!from_entry || !behind || peer.pull_sent) return;
   peer.pull_sent = true;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -9,12 +9,18 @@
 /// Answers later than this many times the response-time goal are worth nothing
 /// to a caller.
 constexpr std::int64_t kWorthlessAfterGoals = 3;
+/// Share (in per cent) of the time to spare within its goal that a job may wait
+/// before younger jobs go first. Estimates are rough, and a job that starts at
+/// the last moment is late more often than not.
+constexpr std::int64_t kWaitShare = 50;
 /// When a refused caller may try again: about as long as a full queue takes to
 /// empty.
 constexpr Duration kRetryAfter{1000};
-/// A worker that fails what it starts is given one run at this interval.
+/// A worker that fails what it starts, or is slow, is given one run at this
+/// interval.
 constexpr Duration kProbeInterval{1000};
-/// A worker this many times slower than the median is avoided.
+/// A worker this many times slower than the median is slow. Estimates that are
+/// off by 40 % leave the average of a few runs well below it.
 constexpr double kSlowFactor = 2.0;
 /// Added to a run number that a worker refused as too low.
 constexpr std::uint64_t kRunSkip = 8;
@@ -23,6 +29,9 @@
 constexpr double kLoadWeight = 0.3;
 /// Cost of a worker in another data centre, whose bytes are dearer.
 constexpr double kCrossDataCentreCost = 0.05;
+constexpr int kMostUrgent = 0;
+/// This many urgent tasks may wait for room at a worker, ahead of all others.
+constexpr double kUrgentAhead = 2;
 constexpr double kEpsilon = 1e-6;
 
 }  // namespace
@@ -82,10 +91,9 @@
     const Worker& worker = item.second;
     if (!worker.card || worker.card->service != service) return false;
     const auto& labels = worker.card->labels;
-    const bool labelled =
-        step.required_label.empty() ||
-        std::find(labels.begin(), labels.end(), step.required_label) !=
-            labels.end();
+    const bool labelled = step.required_label.empty() ||
+                          std::find(labels.begin(), labels.end(),
+                                    step.required_label) != labels.end();
     return labelled && worker.card->capacity.Holds(step.size);
   });
 }
@@ -100,13 +108,15 @@
   job.route = route;
   job.submitted = now;
   job.held = held;
+  // Another entry may have started it, so "not run" would not be true.
+  job.may_have_run = held;
   const Duration goal =
       Duration(static_cast<std::int64_t>(
           static_cast<double>(ChainEstimate(spec).ms()) * route.slack)) +
       route.target_latency;
   const Duration chain = ChainEstimate(spec);
   job.limit = now + patience;
-  job.latest_start = now + goal - chain;
+  job.latest_start = now + (goal - chain) * kWaitShare / 100;
   job.hopeless = now + std::min(patience, goal * kWorthlessAfterGoals) - chain;
   const std::string unsupported = Unsupported(spec, route);
   bool fits = true;
@@ -124,7 +134,7 @@
   } else if (!fits) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter,
            "no known worker can hold it", now);
-  } else if (now + ExpectedWait(route.priority) > kept.hopeless) {
+  } else if (now + ExpectedWait(route.priority) > kept.latest_start) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter, "the queue is too long",
            now);
   } else {
@@ -137,9 +147,8 @@
 double StepScheduler::Capacity(TimePoint now) const {
   double cpu = 0;
   for (const auto& [agent, worker] : workers_) {
-    const bool counts = worker.link && worker.card &&
-                        worker.report.accepting && !worker.report.failing &&
-                        now - worker.heard <= kSilent;
+    const bool counts = worker.link && worker.card && worker.report.accepting &&
+                        !IsOnProbation(worker) && now - worker.heard <= kSilent;
     if (counts) cpu += worker.card->capacity.cpu;
   }
   return cpu;
@@ -185,11 +194,11 @@
       continue;
     }
     const auto& dependencies = job.spec.steps[index].dependencies;
-    const bool ready = std::all_of(
-        dependencies.begin(), dependencies.end(), [&](std::size_t earlier) {
-          const Step& other = job.steps.at(earlier);
-          return other.done == other.tasks.size();
-        });
+    const bool ready = std::all_of(dependencies.begin(), dependencies.end(),
+                                   [&](std::size_t earlier) {
+                                     const Step& other = job.steps.at(earlier);
+                                     return other.done == other.tasks.size();
+                                   });
     if (!ready) continue;
     for (StepTask& task : step.tasks) task.state = TaskState::kWaiting;
     step.waiting += step.tasks.size();
@@ -287,9 +296,16 @@
   return true;
 }
 
-double StepScheduler::FreeCpu(const Worker& worker) const {
-  return worker.report.free.cpu -
-         (worker.cpu_sent - worker.report.cpu_received);
+// What an order of the priority would find free or be the next to get: work
+// that is queued there for less urgent orders does not count.
+double StepScheduler::FreeCpu(const Worker& worker, int priority) {
+  double queued = 0;
+  const auto& queue = worker.report.queued_cpu;
+  for (std::size_t rank = 0; rank < queue.size(); ++rank) {
+    if (static_cast<int>(rank) <= priority) queued += queue[rank];
+  }
+  const double unreported = worker.cpu_sent - worker.report.cpu_received;
+  return worker.report.free.cpu - queued - unreported;
 }
 
 std::uint32_t StepScheduler::CountOn(const Need& need,
@@ -314,16 +330,25 @@
           card.labels.end()) {
     return false;
   }
-  if (FreeCpu(worker) + kEpsilon < step.size.cpu ||
+  const int priority = need.job->route.priority;
+  const double ahead =
+      priority == kMostUrgent ? kUrgentAhead * step.size.cpu : 0;
+  if (FreeCpu(worker, priority) + ahead + kEpsilon < step.size.cpu ||
       worker.report.free.memory_mb < step.size.memory_mb ||
       worker.report.free.accelerators < step.size.accelerators) {
     return false;
   }
-  if (worker.report.failing && now < worker.next_probe) return false;
+  if (IsOnProbation(worker) && now < worker.next_probe) return false;
   return step.most_per_worker == 0 ||
          CountOn(need, worker) < step.most_per_worker;
 }
 
+// A slow worker delays every job of which it gets a task.
+bool StepScheduler::IsOnProbation(const Worker& worker) const {
+  return worker.report.failing ||
+         worker.report.slowness > kSlowFactor * std::max(median_slowness_, 0.5);
+}
+
 double StepScheduler::MedianSlowness() const {
   std::vector<double> values;
   for (const auto& [agent, worker] : workers_) {
@@ -336,17 +361,15 @@
   return *middle;
 }
 
-double StepScheduler::Cost(const Worker& worker, const Need& need,
-                           double median) const {
+double StepScheduler::Cost(const Worker& worker, const Need& need) const {
   const WorkerCard& card = *worker.card;
   const std::string& rack = need.step->data_rack;
-  const bool near = rack.empty() || std::find(card.labels.begin(),
-                                              card.labels.end(),
-                                              rack) != card.labels.end();
-  double time = near ? 1 : options_.cross_rack_factor;
-  const double relative = worker.report.slowness / std::max(median, 0.1);
-  if (relative > kSlowFactor) time *= relative;
-  const double used = 1 - FreeCpu(worker) / std::max(card.capacity.cpu, 1.0);
+  const bool near =
+      rack.empty() || std::find(card.labels.begin(), card.labels.end(), rack) !=
+                          card.labels.end();
+  const double time = near ? 1 : options_.cross_rack_factor;
+  const double used = 1 - FreeCpu(worker, need.job->route.priority) /
+                              std::max(card.capacity.cpu, 1.0);
   double cost = time * (1 + kLoadWeight * used);
   if (card.data_centre != options_.data_centre) cost += kCrossDataCentreCost;
   if (*need.avoid && **need.avoid == card.id) cost += 1;
@@ -355,12 +378,11 @@
 
 StepScheduler::Worker* StepScheduler::ChooseWorker(const Need& need,
                                                    TimePoint now) {
-  const double median = MedianSlowness();
   Worker* best = nullptr;
   double best_cost = 0;
   for (auto& [agent, worker] : workers_) {
     if (!Suits(worker, need, now)) continue;
-    const double cost = Cost(worker, need, median);
+    const double cost = Cost(worker, need);
     if (best == nullptr || cost < best_cost) {
       best = &worker;
       best_cost = cost;
@@ -384,7 +406,7 @@
   attempts_[id] = Attempt{number, step, task, worker.agent, now};
   worker.attempts.insert(id);
   worker.cpu_sent += spec.size.cpu;
-  if (worker.report.failing) worker.next_probe = now + kProbeInterval;
+  if (IsOnProbation(worker)) worker.next_probe = now + kProbeInterval;
   ++counters_.orders;
   const auto& labels = worker.card->labels;
   const bool near =
@@ -425,8 +447,7 @@
   task.attempt.reset();
   --job.attempts;
   if (!job.answered) {
-    const Worker* where =
-        worker == workers_.end() ? nullptr : &worker->second;
+    const Worker* where = worker == workers_.end() ? nullptr : &worker->second;
     switch (end) {
       case AttemptEnd::kDone:
         TakeDone(job, attempt.step, task, now);
@@ -445,7 +466,8 @@
         break;
       case AttemptEnd::kStopped:
         ++counters_.stopped;
-        if (where != nullptr && where->card && reason == "stalled") {
+        if (where != nullptr && where->card &&
+            (reason == "stalled" || reason == "slow")) {
           task.avoid = where->card->id;
         }
         ReturnTask(job, attempt.step, task);
@@ -651,6 +673,7 @@
 // ---- time
 
 void StepScheduler::OnTick(TimePoint now) {
+  median_slowness_ = MedianSlowness();
   capacity_ = Capacity(now);
   LoseSilentWorkers(now);
   ExpireJobs(now);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -21,7 +21,7 @@
 
 struct StepSchedulerOptions {
   Incarnation incarnation;
-  DataCentreName data_centre;  ///< The entry's own.
+  DataCentreName data_centre;      ///< The entry's own.
   double cross_rack_factor = 1.5;  ///< Run time away from the data's rack.
 };
 
@@ -177,12 +177,13 @@
   std::string Unsupported(const StepJob& job, const Route& route) const;
   Duration ChainEstimate(const StepJob& job) const;
   void Unblock(Job& job);
-  bool PlaceTask(JobNumber number, Job& job, std::size_t step,
-                 std::size_t task, TimePoint now);
+  bool PlaceTask(JobNumber number, Job& job, std::size_t step, std::size_t task,
+                 TimePoint now);
   Worker* ChooseWorker(const Need& need, TimePoint now);
   bool Suits(const Worker& worker, const Need& need, TimePoint now) const;
-  double FreeCpu(const Worker& worker) const;
-  double Cost(const Worker& worker, const Need& need, double median) const;
+  static double FreeCpu(const Worker& worker, int priority);
+  double Cost(const Worker& worker, const Need& need) const;
+  bool IsOnProbation(const Worker& worker) const;
   double MedianSlowness() const;
   bool FitsAny(const StepSpec& step, const ServiceName& service) const;
   std::uint32_t CountOn(const Need& need, const Worker& worker) const;
@@ -219,6 +220,7 @@
   std::unordered_map<LinkId, Incarnation> by_link_;
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::size_t entry_count_ = 1;
+  double median_slowness_ = 1;
   double capacity_ = 0;  ///< Processors of all accepting workers.
   std::vector<StepJobId> given_up_;
   StepCounters counters_;
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -31,18 +31,22 @@
 
 /// What a worker can take now; sent when it changes.
 struct WorkerReport {
+  /// Queued work of less urgent priorities is counted with the last one.
+  static constexpr int kPriorities = 4;
+
   bool accepting = false;
-  Resources free;  ///< Less what is queued at the agent.
+  Resources free;  ///< Not counting what is queued at the agent.
+  /// Processors of the queued orders, by priority; empty if there are none.
+  std::vector<double> queued_cpu;
   /// Processor of all orders received on this link, so that the entry knows
   /// which of its own orders `free` includes.
   double cpu_received = 0;
-  int queued = 0;
-  double slowness = 1;  ///< Run times there against the estimates.
+  double slowness = 1;   ///< Run times there against the estimates.
   bool failing = false;  ///< Most of what it starts fails or stands still.
 
   template <class A>
   void Fields(A& a) {
-    a(accepting)(free)(cpu_received)(queued)(slowness)(failing);
+    a(accepting)(free)(queued_cpu)(cpu_received)(slowness)(failing);
   }
 };
 
--- a/src/programs/geranium_agent.cc
+++ b/src/programs/geranium_agent.cc
@@ -9,8 +9,8 @@
 
 int RunOnPlatform(const std::string& program,
                   const geranium::CommandLine& command_line) {
-  const auto read = [command_line]() -> geranium::Result<
-                                         geranium::StepAgentSettings> {
+  const auto read =
+      [command_line]() -> geranium::Result<geranium::StepAgentSettings> {
     BOOST_OUTCOME_TRY(file, geranium::LoadSettings(command_line));
     return geranium::ReadStepAgentSettings(file);
   };
--- a/src/programs/geranium_entry.cc
+++ b/src/programs/geranium_entry.cc
@@ -9,8 +9,8 @@
 
 int RunOnPlatform(const std::string& program,
                   const geranium::CommandLine& command_line) {
-  const auto read = [command_line]() -> geranium::Result<
-                                         geranium::StepEntrySettings> {
+  const auto read =
+      [command_line]() -> geranium::Result<geranium::StepEntrySettings> {
     BOOST_OUTCOME_TRY(file, geranium::LoadSettings(command_line));
     return geranium::ReadStepEntrySettings(file);
   };
--- a/src/runtime/process_loop.h
+++ b/src/runtime/process_loop.h
@@ -23,9 +23,10 @@
 
   /// Runs until `Stop`. `on_tick` is called at every tick, `on_terminate` at
   /// each SIGTERM or SIGINT with how many there were, `on_reload` at SIGHUP.
-  void Run(std::function<void()> on_tick,
-           std::function<void(int count)> on_terminate,
-           std::function<void()> on_reload = [] {});
+  void Run(
+      std::function<void()> on_tick,
+      std::function<void(int count)> on_terminate,
+      std::function<void()> on_reload = [] {});
   void Stop();
 
  private:
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -24,17 +24,16 @@
     : settings_(std::move(settings)),
       reload_(std::move(reload)),
       session_(settings_.node),
-      links_(loop_.control(), loop_.traffic(),
-             PeerLinks::Handlers{
-                 [this](LinkId link) { session_.OnLinkUp(link, clock_.Now()); },
-                 [this](LinkId link, const Message& message) {
-                   session_.OnMessage(link, message, clock_.Now());
-                 },
-                 [this](LinkId link) {
-                   session_.OnLinkDown(link, clock_.Now());
-                 },
-                 [this] { Carry(); }},
-             settings_.node.incarnation.value(), kLongestDialWait),
+      links_(
+          loop_.control(), loop_.traffic(),
+          PeerLinks::Handlers{
+              [this](LinkId link) { session_.OnLinkUp(link, clock_.Now()); },
+              [this](LinkId link, const Message& message) {
+                session_.OnMessage(link, message, clock_.Now());
+              },
+              [this](LinkId link) { session_.OnLinkDown(link, clock_.Now()); },
+              [this] { Carry(); }},
+          settings_.node.incarnation.value(), kLongestDialWait),
       http_(loop_.traffic()),
       registration_(loop_.traffic(), [this](const ExchangePtr& exchange) {
         OnRegistration(exchange);
@@ -44,9 +43,9 @@
   const std::string problem =
       registration_.Listen(settings_.registration_address);
   if (!problem.empty()) {
-    LogChange(LogLevel::kError, "listen_failed",
-              {{"address", settings_.registration_address},
-               {"message", problem}});
+    LogChange(
+        LogLevel::kError, "listen_failed",
+        {{"address", settings_.registration_address}, {"message", problem}});
     return 1;
   }
   LogChange(LogLevel::kInfo, "started",
@@ -111,22 +110,23 @@
 }
 
 void StepAgentServer::Carry(const StartRun& order) {
-  Call(order, [this, run = order.run](const HttpOutcome& outcome,
-                                      TimePoint now) {
-    session_.OnStartEnded(run, platform::ReadOrderOutcome(outcome), now);
-  });
+  Call(order,
+       [this, run = order.run](const HttpOutcome& outcome, TimePoint now) {
+         session_.OnStartEnded(run, platform::ReadOrderOutcome(outcome), now);
+       });
 }
 
 void StepAgentServer::Carry(const StopRun& order) {
-  Call(order, [this, run = order.run](const HttpOutcome& outcome,
-                                      TimePoint now) {
-    session_.OnStopEnded(run, platform::ReadOrderOutcome(outcome), now);
-  });
+  Call(order,
+       [this, run = order.run](const HttpOutcome& outcome, TimePoint now) {
+         session_.OnStopEnded(run, platform::ReadOrderOutcome(outcome), now);
+       });
 }
 
 void StepAgentServer::Carry(const HoldRuns& order) {
-  Call(order, [this](const HttpOutcome& outcome, TimePoint now) {
-    session_.OnHoldEnded(platform::ReadHoldOutcome(outcome), now);
+  Call(order, [this, number = order.number](const HttpOutcome& outcome,
+                                            TimePoint now) {
+    session_.OnHoldEnded(number, platform::ReadHoldOutcome(outcome), now);
     session_.AfterEvents(now);
   });
 }
@@ -190,8 +190,7 @@
     }
     return;
   }
-  const std::vector<std::string>& addresses =
-      settings.value().entry_addresses;
+  const std::vector<std::string>& addresses = settings.value().entry_addresses;
   const bool changed = addresses != settings_.entry_addresses;
   if (asked || changed) {
     LogChange(LogLevel::kInfo, "settings_reloaded",
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -90,9 +90,8 @@
     Submit(exchange);
     return;
   }
-  boost::asio::post(loop_.control(), [this, exchange] {
-    AnswerQueue(exchange, clock_.Now());
-  });
+  boost::asio::post(loop_.control(),
+                    [this, exchange] { AnswerQueue(exchange, clock_.Now()); });
 }
 
 void StepEntryServer::Submit(const ExchangePtr& exchange) {
@@ -107,35 +106,36 @@
       no_route.reason = "no such route";
       const bool known =
           !node_.has_table() || node_.FindRoute(host, request.path) != nullptr;
-      Carry(LogNote{LogLevel::kWarning, "request_malformed",
+      Carry(LogNote{LogLevel::kWarning,
+                    "request_malformed",
                     {{"path", request.path}, {"message", error.message}}});
       exchange->Reply(known ? platform::MalformedResponse(error)
                             : platform::ToResponse(no_route));
     });
     return;
   }
-  boost::asio::post(loop_.control(), [this, exchange,
-                                      submission = std::move(
-                                          submission.value())]() mutable {
-    const CallerHandle caller(next_caller_++);
-    waiting_[caller] = exchange;
-    exchange->SetOnGone([this, caller] {
-      boost::asio::post(loop_.control(), [this, caller] {
-        waiting_.erase(caller);
-        node_.OnCallerGone(caller, clock_.Now());
+  boost::asio::post(
+      loop_.control(),
+      [this, exchange, submission = std::move(submission.value())]() mutable {
+        const CallerHandle caller(next_caller_++);
+        waiting_[caller] = exchange;
+        exchange->SetOnGone([this, caller] {
+          boost::asio::post(loop_.control(), [this, caller] {
+            waiting_.erase(caller);
+            node_.OnCallerGone(caller, clock_.Now());
+            Carry();
+          });
+        });
+        node_.OnSubmission(caller, std::move(submission), clock_.Now());
         Carry();
       });
-    });
-    node_.OnSubmission(caller, std::move(submission), clock_.Now());
-    Carry();
-  });
 }
 
-// Questions about jobs and queues. Nothing of a job is kept once it is answered.
+// Questions about jobs and queues. Nothing of a job is kept once it is
+// answered.
 void StepEntryServer::AnswerQueue(const ExchangePtr& exchange, TimePoint now) {
   const HttpRequest& request = exchange->request();
-  const Route* route =
-      node_.FindRoute(platform::HostOf(request), request.path);
+  const Route* route = node_.FindRoute(platform::HostOf(request), request.path);
   AnswerStepJob answer;
   answer.retry_after = Duration(1000);
   if (route == nullptr) {
@@ -235,8 +235,8 @@
   }
   if (!leaving_since_) return;
   const Duration since = now - *leaving_since_;
-  const bool done = node_.IsIdle() && callers_.unanswered() == 0 &&
-                    since >= kShutdownLinger;
+  const bool done =
+      node_.IsIdle() && callers_.unanswered() == 0 && since >= kShutdownLinger;
   if (!done && since < settings_.grace - kShutdownMargin) return;
   LogChange(done ? LogLevel::kInfo : LogLevel::kWarning, "stopped",
             {{"cut_requests", std::to_string(callers_.unanswered())}});
@@ -254,8 +254,7 @@
     }
     return;
   }
-  const std::vector<std::string>& addresses =
-      settings.value().entry_addresses;
+  const std::vector<std::string>& addresses = settings.value().entry_addresses;
   const bool changed = addresses != settings_.entry_addresses;
   if (asked || changed) {
     LogChange(LogLevel::kInfo, "settings_reloaded",
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -55,9 +55,8 @@
       kPerCent;
   settings.caller_address = ReadAddress(entry, "caller_address");
   settings.ready_address = ReadAddress(entry, "ready_address");
-  settings.grace =
-      Duration(entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) *
-               1000);
+  settings.grace = Duration(
+      entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
@@ -79,9 +78,8 @@
   settings.worker_address = ReadAddress(agent, "worker_address");
   node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
   node.stop_limit = ReadMs(agent, "stop_limit_ms", node.stop_limit);
-  settings.grace =
-      Duration(agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) *
-               1000);
+  settings.grace = Duration(
+      agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
   BOOST_OUTCOME_TRYV(agent.Finish());
   Result<void> shared = boost::outcome_v2::success();
   (void)ReadSharedSections(file, settings.entry_addresses, shared);
--- a/src/worker/run_record.h
+++ b/src/worker/run_record.h
@@ -21,8 +21,8 @@
 
   void CountRun(Duration ran, Duration estimate) {
     if (estimate.ms() <= 0) return;
-    const double ratio = static_cast<double>(ran.ms()) /
-                         static_cast<double>(estimate.ms());
+    const double ratio =
+        static_cast<double>(ran.ms()) / static_cast<double>(estimate.ms());
     const double bounded = std::clamp(ratio, 1 / kMostRatio, kMostRatio);
     slowness_ += kWeight * (bounded - slowness_);
   }
--- a/src/worker/worker_calls.h
+++ b/src/worker/worker_calls.h
@@ -43,6 +43,7 @@
 
 /// Renews the lease of all that runs, acknowledges ends and asks what runs.
 struct HoldRuns {
+  std::uint64_t number = 0;  ///< Of this call, at the agent.
   WorkerId worker;
   std::optional<std::int64_t> lease_until_ms;  ///< Absent: a look only.
   std::uint64_t fence = 0;
@@ -57,10 +58,10 @@
   kSuperseded,  ///< It has seen a stop, an end or a higher run of the task.
   kExpired,     ///< The lease had run out when the order arrived.
   kNoRoom,
-  kUnhealthy,   ///< It did nothing and fails.
-  kOtherLife,   ///< The order was for another life of it.
+  kUnhealthy,  ///< It did nothing and fails.
+  kOtherLife,  ///< The order was for another life of it.
   kMalformed,
-  kNoAnswer,    ///< It may have done it, or may yet.
+  kNoAnswer,  ///< It may have done it, or may yet.
 };
 
 struct OrderOutcome {
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -33,6 +33,14 @@
 /// One per cent of a run's share done takes a hundredth of its time; this many
 /// of them without a change is no slow run.
 constexpr std::int64_t kStallShare = 4;
+/// A run's speed is measured once it has run this long ...
+constexpr Duration kMeasureAfter{30};
+/// ... and done this many per cent, so that rounding matters little.
+constexpr int kMeasureShare = 10;
+/// From this slowness on, runs are returned to be started elsewhere if what is
+/// left of them takes longer than `kMoveGain` per cent of their estimate.
+constexpr double kMoveSlowness = 2.5;
+constexpr std::int64_t kMoveGain = 150;
 /// A lease may last longer by this share (in per cent) on the server's clock.
 constexpr std::int64_t kClockSlack = 2;
 constexpr Duration kLeaseMargin{30};
@@ -140,14 +148,8 @@
 }
 
 void WorkerSession::Hold(TimePoint now) {
-  if (!worker_ || hold_running_ || now < next_hold_) return;
-  hold_running_ = true;
-  hold_sent_ = now;
-  hold_fence_ = fence_;
+  if (!worker_ || waiting_hold_ != 0 || now < next_hold_) return;
   HoldRuns hold;
-  hold.worker = worker_->id;
-  hold.fence = fence_;
-  hold.acknowledged_end = acknowledged_end_;
   if (now - answered_ < kWorkerSilence) {
     hold.lease_until_ms = LeaseUntil(now);
     lease_end_ = std::max(lease_end_, now + kLease);
@@ -165,34 +167,56 @@
     hold.wait = std::min(hold.wait, kLossyWait);
   }
   if (!settled_) hold.wait = Duration(0);
+  waiting_hold_ = next_hold_number_;
+  SendHold(std::move(hold), now);
+}
+
+// The waiting hold may be answered only when it has waited; what is being
+// settled is asked for at once.
+void WorkerSession::Look(TimePoint now) {
+  SendHold(HoldRuns{}, now);
+  open_holds_.rbegin()->second.is_look = true;
+}
+
+void WorkerSession::SendHold(HoldRuns hold, TimePoint now) {
+  hold.number = next_hold_number_++;
+  hold.worker = worker_->id;
+  hold.fence = fence_;
+  hold.acknowledged_end = acknowledged_end_;
+  open_holds_[hold.number] = OpenHold{now, fence_, false};
   actions_.emplace_back(std::move(hold));
 }
 
-void WorkerSession::OnHoldEnded(const HoldOutcome& outcome, TimePoint now) {
-  hold_running_ = false;
-  const TimePoint sent_at = hold_sent_;
+void WorkerSession::OnHoldEnded(std::uint64_t number,
+                                const HoldOutcome& outcome, TimePoint now) {
+  const auto found = open_holds_.find(number);
+  if (found == open_holds_.end()) return;
+  const OpenHold hold = found->second;
+  open_holds_.erase(found);
+  if (!hold.is_look) waiting_hold_ = 0;
   if (outcome.reply != OrderReply::kAccepted) {
     const bool lost = outcome.reply == OrderReply::kNoAnswer;
     if (lost) lost_answer_ = now;
-    next_hold_ = lost && now - answered_ < kWorkerSilence ? now
-                                                          : now + kHoldRetry;
-    if (outcome.reply == OrderReply::kFenced && hold_fence_ == fence_) {
+    next_hold_ =
+        lost && now - answered_ < kWorkerSilence ? now : now + kHoldRetry;
+    if (outcome.reply == OrderReply::kFenced && hold.fence == fence_) {
       RaiseFence();
     }
     return;
   }
   answered_ = now;
-  next_hold_ = now;
+  if (!hold.is_look) next_hold_ = now;
   if (outcome.clock_ms) clock_offset_ms_ = *outcome.clock_ms - now.ms();
   if (silent_) {
     silent_ = false;
     Log(LogLevel::kInfo, "worker_answers_again", {});
   }
   NoteLife(outcome.born_ms, now);
-  if (hold_fence_ != fence_) return;  // Says nothing of the present token.
+  if (hold.fence != fence_) return;  // Says nothing of the present token.
   TakeEnds(outcome, now);
-  Compare(outcome, sent_at, now);
+  Compare(outcome, hold.sent, now);
   StopStrangers(outcome, now);
+  MeasureRuns(now);
   StopStalled(now);
   StartQueued(now);
 }
@@ -208,7 +232,9 @@
     const bool stalled = attempt->stop_reason == "stalled";
     switch (ended.end) {
       case RunEnd::kDone:
-        record_.CountRun(now - attempt->began, attempt->order.estimate);
+        if (!attempt->measured) {
+          record_.CountRun(now - attempt->began, attempt->order.estimate);
+        }
         record_.CountOutcome(false);
         ++counters_.done;
         End(id, AttemptEnd::kDone, "", now);
@@ -383,7 +409,6 @@
   attempt.since = now;
   by_run_[order.run] = order.attempt;
   ++by_task_[order.run.task];
-  queued_ += order.size;
   StartQueued(now);
 }
 
@@ -405,7 +430,6 @@
 }
 
 void WorkerSession::Start(Attempt& attempt, TimePoint now) {
-  queued_ -= attempt.order.size;
   in_use_ += attempt.order.size;
   attempt.state = State::kStarting;
   attempt.since = now;
@@ -449,11 +473,8 @@
           {{"task", run.task.value()}, {"message", outcome.message}});
       break;
     case OrderReply::kFenced:
-      // The order may have been overtaken by our own newer token.
-      if (fence_ == options_.first_fence || hold_fence_ == fence_) {
-        RaiseFence();
-        settled_ = false;
-      }
+      // The next hold raises the token, if this was not one of our own older
+      // ones.
       give_back(AttemptEnd::kNotStarted, "fenced");
       break;
     case OrderReply::kSuperseded:
@@ -502,14 +523,14 @@
   actions_.emplace_back(StopRun{worker_->id, attempt.order.run, fence_});
 }
 
-void WorkerSession::OnStopEnded(const TaskRun& run,
-                                const OrderOutcome& outcome, TimePoint now) {
+void WorkerSession::OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
+                                TimePoint now) {
   Attempt* attempt = FindByRun(run);
   if (attempt == nullptr || attempt->state != State::kStopping) return;
   if (outcome.reply == OrderReply::kAccepted) {
-    if (!attempt->stop_accepted) attempt->stop_accepted = now;
-  } else if (outcome.reply == OrderReply::kFenced && hold_fence_ == fence_) {
-    RaiseFence();
+    if (attempt->stop_accepted) return;
+    attempt->stop_accepted = now;
+    if (!attempt->has_run) Look(now + Duration(1));
   }
 }
 
@@ -517,7 +538,7 @@
                         const std::string& reason, TimePoint now) {
   const auto found = attempts_.find(id);
   Attempt& attempt = found->second;
-  (attempt.state == State::kQueued ? queued_ : in_use_) -= attempt.order.size;
+  if (attempt.state != State::kQueued) in_use_ -= attempt.order.size;
   by_run_.erase(attempt.order.run);
   if (--by_task_[attempt.order.run.task] == 0) {
     by_task_.erase(attempt.order.run.task);
@@ -558,8 +579,8 @@
   hello.name = options_.name;
   hello.incarnation = options_.incarnation;
   Send(link, hello);
-  Send(link, Heartbeat{now, std::nullopt, Version(0), std::nullopt,
-                       std::nullopt});
+  Send(link,
+       Heartbeat{now, std::nullopt, Version(0), std::nullopt, std::nullopt});
 }
 
 void WorkerSession::OnLinkDown(LinkId link, TimePoint /*now*/) {
@@ -676,19 +697,43 @@
   std::erase_if(entries_, [&](const auto& item) {
     const auto& [incarnation, entry] = item;
     if (entry.linked || now - entry.proved < kKeepEnds) return false;
-    return std::none_of(
-        attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
-          return attempt.second.entry == incarnation;
-        });
+    return std::none_of(attempts_.begin(), attempts_.end(),
+                        [&](const auto& attempt) {
+                          return attempt.second.entry == incarnation;
+                        });
   });
 }
 
+// Shares done tell the speed of the worker long before runs end.
+void WorkerSession::MeasureRuns(TimePoint now) {
+  std::vector<AttemptId> too_slow;
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kRunning || attempt.percent == 0) continue;
+    const Duration ran = now - attempt.began;
+    if (ran < kMeasureAfter) continue;
+    const Duration whole = ran * 100 / attempt.percent;
+    const Duration estimate = attempt.order.estimate;
+    if (!attempt.measured && attempt.percent >= kMeasureShare) {
+      attempt.measured = true;
+      record_.CountRun(whole, estimate);
+    }
+    const bool worth_moving = whole - ran > estimate * kMoveGain / 100;
+    if (record_.slowness() > kMoveSlowness && worth_moving) {
+      too_slow.push_back(id);
+    }
+  }
+  for (const AttemptId& id : too_slow) {
+    ++counters_.moved;
+    Stop(attempts_.at(id), "slow", now);
+  }
+}
+
 void WorkerSession::StopStalled(TimePoint now) {
   std::vector<AttemptId> stalled;
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.state != State::kRunning) continue;
-    const Duration limit = std::max(
-        kStallLimit, attempt.order.estimate * kStallShare / 10);
+    const Duration limit =
+        std::max(kStallLimit, attempt.order.estimate * kStallShare / 10);
     if (now - attempt.progressed > limit) stalled.push_back(id);
   }
   for (const AttemptId& id : stalled) {
@@ -742,11 +787,14 @@
   if (worker_) {
     report.free = worker_->capacity;
     report.free -= in_use_;
-    report.free -= queued_;
   }
   report.cpu_received = peer.cpu_received;
   for (const auto& [id, attempt] : attempts_) {
-    if (attempt.state == State::kQueued) ++report.queued;
+    if (attempt.state != State::kQueued) continue;
+    const auto rank = static_cast<std::size_t>(
+        std::clamp(attempt.order.priority, 0, WorkerReport::kPriorities - 1));
+    report.queued_cpu.resize(WorkerReport::kPriorities);
+    report.queued_cpu[rank] += attempt.order.size.cpu;
   }
   report.slowness = record_.slowness();
   report.failing = record_.failing();
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -28,8 +28,8 @@
 };
 
 /// What the session's decisions ask of the world.
-using SessionAction = std::variant<SendMessage, ConnectEntry, CloseLink, StartRun, StopRun,
-                                   HoldRuns, LogNote>;
+using SessionAction = std::variant<SendMessage, ConnectEntry, CloseLink,
+                                   StartRun, StopRun, HoldRuns, LogNote>;
 
 /// Counts for metrics.
 struct SessionCounters {
@@ -41,6 +41,7 @@
   std::uint64_t bounced = 0;  ///< Orders returned without a start.
   std::uint64_t in_doubt = 0;
   std::uint64_t stalled = 0;
+  std::uint64_t moved = 0;  ///< Stopped to run at a faster worker.
 };
 
 /// The decisions of an agent whose backend server runs sized tasks under a
@@ -80,7 +81,8 @@
                     TimePoint now);
   void OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
                    TimePoint now);
-  void OnHoldEnded(const HoldOutcome& outcome, TimePoint now);
+  void OnHoldEnded(std::uint64_t number, const HoldOutcome& outcome,
+                   TimePoint now);
 
   void OnLinkUp(LinkId link, TimePoint now);
   void OnLinkDown(LinkId link, TimePoint now);
@@ -115,11 +117,12 @@
     StartTask order;
     Incarnation entry;
     State state = State::kQueued;
-    TimePoint since;      ///< When it came into its state.
-    TimePoint progressed; ///< When its share done last rose.
+    TimePoint since;       ///< When it came into its state.
+    TimePoint progressed;  ///< When its share done last rose.
     TimePoint began;
     int percent = 0;
     bool has_run = false;
+    bool measured = false;  ///< Its speed has been counted.
     std::optional<TimePoint> stop_accepted;
     TimePoint stop_sent = TimePoint::Never();
     std::string stop_reason;
@@ -167,12 +170,15 @@
   void BeginLife(TimePoint now);
   void RaiseFence();
   void Hold(TimePoint now);
+  void Look(TimePoint now);
+  void SendHold(HoldRuns hold, TimePoint now);
   void ExpireLease(TimePoint now);
   void ExpireQueued(TimePoint now);
   void ReturnQueued(const std::string& reason, TimePoint now);
   void ReturnQueuedBefore(TimePoint before, const std::string& reason,
                           TimePoint now);
   void StopForSilentEntries(TimePoint now);
+  void MeasureRuns(TimePoint now);
   void StopStalled(TimePoint now);
   void CloseSilentLinks(TimePoint now);
   void SendHeartbeats(TimePoint now);
@@ -196,9 +202,15 @@
   bool settled_ = false;
   bool left_ = false;
   bool leaving_ = false;
-  bool hold_running_ = false;
-  TimePoint hold_sent_;
-  std::uint64_t hold_fence_ = 0;
+  struct OpenHold {
+    TimePoint sent;
+    std::uint64_t fence = 0;
+    bool is_look = false;  ///< Asked besides the waiting hold.
+  };
+
+  std::map<std::uint64_t, OpenHold> open_holds_;
+  std::uint64_t next_hold_number_ = 1;
+  std::uint64_t waiting_hold_ = 0;  ///< The one that renews; 0: none.
   TimePoint next_hold_;
   TimePoint answered_ = TimePoint::Never();
   TimePoint lost_answer_ = TimePoint::Never();
@@ -212,7 +224,6 @@
   std::map<Incarnation, Entry> entries_;
   std::set<std::string> known_entries_;
   Resources in_use_;
-  Resources queued_;
   RunRecord record_;
   WorkerCard sent_card_;
   TimePoint next_heartbeat_;
--- /dev/null
+++ b/standins/step_world.h
@@ -0,0 +1,170 @@
+#ifndef GERANIUM_STANDINS_STEP_WORLD_H_
+#define GERANIUM_STANDINS_STEP_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "entry/step_entry_node.h"
+#include "sized_worker.h"
+#include "worker/worker_session.h"
+
+namespace geranium::standins {
+
+/// One kind of job that callers hand in.
+struct LoadClass {
+  std::string name;
+  int priority = 0;
+  double per_second = 0;
+  int width = 1;       ///< Tasks of a job, on average.
+  Duration work{100};  ///< Of one task, on average.
+  double cpu = 3.1;
+  double spread = 0.4;       ///< Of width, work and estimate.
+  double failing_tasks = 0;  ///< Share of runs that fail by themselves.
+  double hopeless_jobs = 0;  ///< Share of jobs whose tasks always fail.
+  double with_rack = 0;      ///< Share of jobs that want one rack.
+  Duration target_latency{60};
+  double slack = 1.6;
+};
+
+/// The load of the users' sites, times `factor` of an ordinary day's rate.
+std::vector<LoadClass> UsersLoad(double factor);
+
+struct StepWorldOptions {
+  std::uint64_t seed = 1;
+  int entries = 4;
+  int workers = 11;
+  int workers_per_rack = 3;
+  Resources worker_size{36, 65536, 0};
+  std::vector<LoadClass> load;
+  Duration caller_delay{3};
+  Duration link_delay{1};
+  Duration resend{1300};    ///< After a broken connection.
+  Duration patience{5000};  ///< After which a caller leaves.
+};
+
+/// What callers of one kind got.
+struct ClassReport {
+  int asked = 0;
+  int in_goal = 0;
+  int late = 0;     ///< Within three times the goal.
+  int useless = 0;  ///< Completed later still.
+  int refused = 0;
+  int failed = 0;
+  int left = 0;
+  double refused_wait_ms = 0;  ///< Summed over the refused.
+
+  double InGoal() const { return asked == 0 ? 1 : 1.0 * in_goal / asked; }
+  /// Worth as the users count it: late answers a fifth.
+  double Worth() const {
+    return asked == 0 ? 1 : (in_goal + 0.2 * late) / asked;
+  }
+};
+
+/// Entries, agents and workers in one thread and simulated time: real decision
+/// objects joined by modelled links, calls and callers, with faults. Checks
+/// while it runs that no task runs twice at a time, no worker is filled beyond
+/// its capacity and nothing of a refused job starts.
+class StepWorld {
+ public:
+  explicit StepWorld(StepWorldOptions options);
+  ~StepWorld();
+
+  /// Plays on to `until`, with load if `with_load`.
+  void Run(TimePoint until, bool with_load = true);
+  TimePoint now() const { return now_; }
+  /// Calls `what` at a time that is still to come.
+  void At(TimePoint when, std::function<void()> what);
+
+  // Faults.
+  WorkerFaults& faults(int worker);
+  void KillAgent(int worker, Duration down);
+  void FreezeAgent(int worker, Duration span);
+  void RestartWorker(int worker, Duration down);
+  void KillEntry(int entry, Duration down);
+  void FreezeEntry(int entry, Duration span);
+  /// Cuts an agent from all entries; its worker runs on.
+  void CutAgent(int worker, Duration span);
+  void CutEntries(int one, int other, Duration span);
+  /// Connections of the entry to its callers break.
+  void DropCallers(int entry);
+  void TakeOut(const std::string& data_centre, bool out);
+  void LeaveAgent(int worker);
+
+  /// Hands in one job at an entry; returns its number.
+  int Submit(int entry, const LoadClass& kind, const std::string& rack = "");
+  /// Sends the job again at another entry, while the first still holds it.
+  void SubmitAgain(int job, int entry);
+  bool IsCompleted(int job) const;
+  std::optional<StepAnswer> AnswerOf(int job) const;
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  std::map<std::string, ClassReport> Report() const;
+  /// Jobs that have no answer, for failed tests.
+  std::vector<std::string> Unanswered() const;
+  /// Mean of all reports' worth, each kind weighing the same.
+  double Worth() const;
+  SizedWorker& worker(int index);
+  const WorkerSession& session(int worker) const;
+  const StepEntryNode& entry(int index) const;
+  std::uint64_t starts() const { return starts_; }
+  std::vector<std::string> log;  ///< Newest decisions, for failed tests.
+
+ private:
+  struct Agent;
+  struct Entry;
+  struct Job;
+  struct Wire;
+
+  void Step();
+  void Generate();
+  void StartAgent(int index);
+  void StartEntry(int index);
+  void Dial(int agent, int entry);
+  void DialEntry(int from, int to);
+  bool Blocked(int from, int to) const;
+  void Break(LinkId link);
+  void Deliver(LinkId link, bool to_second, const Message& message);
+  void DrainAgent(int index);
+  void DrainEntry(int index);
+  template <class Order>
+  void CallWorker(int index, const Order& order);
+  void AnswerHold(int index, std::uint64_t life, const HoldRuns& order,
+                  TimePoint until);
+  void TakeAnswer(int entry, const AnswerStepJob& answer);
+  void SendJob(int job, int entry);
+  void CheckWorkers();
+  void NoteStart(const TaskRun& run);
+  void Violate(const std::string& what);
+  RouteTable MakeTable() const;
+
+  StepWorldOptions options_;
+  Random random_;
+  TimePoint now_{1000};
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::map<LinkId, Wire> wires_;
+  std::uint64_t next_link_ = 1;
+  std::uint64_t next_incarnation_ = 1;
+  std::vector<std::unique_ptr<Job>> jobs_;
+  std::map<std::string, TaskTruth> truths_;
+  std::set<std::string> started_;  ///< Ids of jobs that a worker has begun.
+  std::vector<TimePoint> next_arrival_;
+  std::set<std::string> out_;
+  std::set<std::pair<int, int>> cuts_;  ///< Addresses that cannot talk.
+  std::uint64_t table_offset_ = 1;
+  std::uint64_t starts_ = 0;
+  bool with_load_ = true;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace geranium::standins
+
+#endif  // GERANIUM_STANDINS_STEP_WORLD_H_
--- /dev/null
+++ b/tests/step_world_test.cc
@@ -0,0 +1,261 @@
+#include "step_world.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+namespace geranium::standins {
+namespace {
+
+/// What a mean day is to be worth on the users' grown sites; the smaller one.
+constexpr double kTargetWorth = 0.69;
+/// Load of an ordinary day, against the users' ordinary rates.
+constexpr double kOrdinary = 0.7;
+
+class StepWorldTest {
+ protected:
+  static StepWorldOptions Options(double factor, std::uint64_t seed = 1) {
+    StepWorldOptions options;
+    options.seed = seed;
+    options.load = UsersLoad(factor);
+    return options;
+  }
+
+  static StepWorldOptions WithoutLoad(std::uint64_t seed = 1) {
+    StepWorldOptions options;
+    options.seed = seed;
+    options.load = UsersLoad(0);
+    return options;
+  }
+
+  static LoadClass Long() {
+    LoadClass kind = UsersLoad(0)[1];
+    kind.spread = 0;
+    return kind;
+  }
+
+  static void CheckPromises(const StepWorld& world) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    for (const std::string& violation : world.violations()) {
+      UNSCOPED_INFO(violation);
+    }
+    CHECK(world.violations().empty());
+  }
+
+  static int Asked(const StepWorld& world) {
+    int asked = 0;
+    for (const auto& [name, report] : world.Report()) asked += report.asked;
+    return asked;
+  }
+};
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld on a calm day every job meets its goal") {
+  StepWorld world(Options(kOrdinary));
+  world.Run(TimePoint(11'000));
+  world.Run(TimePoint(17'000), false);
+  CHECK(Asked(world) > 500);
+  for (const auto& [name, report] : world.Report()) {
+    CAPTURE(name, report.asked, report.late, report.refused, report.failed);
+    CHECK(report.InGoal() > 0.99);
+  }
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld under a burst with lost answers and bad workers "
+                 "the day keeps its worth") {
+  StepWorld world(Options(1.1 * 1.3));
+  for (int i = 0; i < 11; ++i) world.faults(i).unanswered = 0.064;
+  world.At(TimePoint(4000), [&] { world.faults(2).slow = 5.1; });
+  world.At(TimePoint(6000), [&] { world.faults(7).hangs = true; });
+  world.Run(TimePoint(9000));
+  world.Run(TimePoint(16'000), false);
+  for (const auto& [name, report] : world.Report()) {
+    CAPTURE(name, report.asked, report.in_goal, report.late, report.useless,
+            report.refused, report.failed);
+    WARN(name << " asked " << report.asked << " in goal " << report.in_goal
+              << " late " << report.late << " useless " << report.useless
+              << " refused " << report.refused << " failed " << report.failed
+              << " left " << report.left);
+  }
+  CHECK(world.Worth() >= kTargetWorth);
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld an agent killed with tasks running: they run again "
+                 "once the old runs have ended") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  std::vector<int> jobs;
+  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  world.At(TimePoint(1900), [&] {
+    for (int i = 0; i < 4; ++i) world.KillAgent(i, Duration(100 + 300 * i));
+  });
+  world.Run(TimePoint(9000));
+  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld an entry killed and its jobs sent again: each is "
+                 "completed once at a time") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  std::vector<int> jobs;
+  for (int i = 0; i < 8; ++i) jobs.push_back(world.Submit(1, Long()));
+  world.At(TimePoint(2100), [&] { world.KillEntry(1, Duration(700)); });
+  world.Run(TimePoint(9000));
+  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld a job sent again while its first entry works on "
+                 "it: the first gives it up before the second starts") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  const int job = world.Submit(0, Long());
+  const int frozen = world.Submit(3, Long());
+  world.At(TimePoint(1900), [&] {
+    world.SubmitAgain(job, 2);
+    world.FreezeEntry(3, Duration(3500));
+    world.SubmitAgain(frozen, 1);
+  });
+  world.Run(TimePoint(9000));
+  CHECK(world.IsCompleted(job));
+  CHECK(world.IsCompleted(frozen));
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld starts carried out seconds late: no task runs "
+                 "twice at a time") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    StepWorld world(Options(kOrdinary, seed));
+    for (int i = 0; i < 11; ++i) world.faults(i).unanswered = 0.2;
+    world.Run(TimePoint(6000));
+    world.Run(TimePoint(20'000), false);
+    CAPTURE(seed);
+    CheckPromises(world);
+  }
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld a worker's new life: what it ran runs elsewhere") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  std::vector<int> jobs;
+  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  world.At(TimePoint(1900), [&] {
+    world.RestartWorker(0, Duration(5));
+    world.RestartWorker(1, Duration(400));
+    world.RestartWorker(2, Duration(3000));
+  });
+  world.Run(TimePoint(9000));
+  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld agents frozen or cut off with their workers "
+                 "running on: their tasks run elsewhere, never twice") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  std::vector<int> jobs;
+  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  world.At(TimePoint(1900), [&] {
+    world.FreezeAgent(0, Duration(3500));
+    world.FreezeAgent(1, Duration(900));
+    world.CutAgent(2, Duration(5000));
+    world.CutAgent(3, Duration(700));
+  });
+  world.Run(TimePoint(9000));
+  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld a data centre taken out: nothing starts there "
+                 "until it is back") {
+  StepWorld world(Options(kOrdinary));
+  world.Run(TimePoint(3000));
+  world.TakeOut("dc-1", true);
+  world.Run(TimePoint(3400));
+  for (TimePoint until(3410); until < TimePoint(5000);
+       until = until + Duration(10)) {
+    world.Run(until);
+    if (until < TimePoint(4800)) continue;  // The longest runs have ended.
+    CHECK(world.worker(1).running().empty());
+  }
+  world.TakeOut("dc-1", false);
+  world.Run(TimePoint(5500));
+  CHECK_FALSE(world.worker(1).running().empty());
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld a worker that fails all it starts: jobs succeed "
+                 "elsewhere, hopeless ones are failed") {
+  StepWorldOptions options = Options(kOrdinary);
+  for (LoadClass& kind : options.load) kind.hopeless_jobs = 0.03;
+  StepWorld world(options);
+  world.At(TimePoint(3000), [&] { world.faults(4).fails_all = true; });
+  world.Run(TimePoint(8000));
+  world.Run(TimePoint(14'000), false);
+  for (const auto& [name, report] : world.Report()) {
+    CAPTURE(name, report.asked, report.in_goal, report.late, report.failed,
+            report.refused);
+    // That only hopeless jobs are failed is one of the promises checked below.
+    const int owed = report.asked - report.failed;
+    CHECK(report.in_goal + 0.2 * report.late > 0.9 * owed);
+  }
+  CheckPromises(world);
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld random faults in series: the promises hold") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    StepWorld world(Options(kOrdinary, seed));
+    Random random(seed * 977);
+    for (int i = 0; i < 14; ++i) {
+      const TimePoint when(1700 +
+                           static_cast<std::int64_t>(random.Below(5000)));
+      const int worker = static_cast<int>(random.Below(11));
+      const int entry = static_cast<int>(random.Below(4));
+      const Duration span(20 + static_cast<std::int64_t>(random.Below(3000)));
+      const std::size_t kind = random.Below(9);
+      world.At(when, [&world, worker, entry, span, kind] {
+        switch (kind) {
+          case 0:
+            return world.KillAgent(worker, span);
+          case 1:
+            return world.FreezeAgent(worker, span);
+          case 2:
+            return world.RestartWorker(worker, span);
+          case 3:
+            return world.KillEntry(entry, span);
+          case 4:
+            return world.FreezeEntry(entry, span);
+          case 5:
+            return world.CutAgent(worker, span);
+          case 6:
+            return world.CutEntries(entry, (entry + 1) % 4, span);
+          case 7:
+            world.faults(worker).unanswered = 0.1;
+            return;
+          default:
+            return world.CutEntries(entry, 4 + worker, span);
+        }
+      });
+    }
+    world.Run(TimePoint(8000));
+    world.Run(TimePoint(20'000), false);
+    CAPTURE(seed);
+    CheckPromises(world);
+    CHECK(world.Unanswered() == std::vector<std::string>());
+  }
+}
+
+}  // namespace
+}  // namespace geranium::standins
