Serve on while leaving; relink within 300 ms; judge slow runs later

Change: a leaving entry admits what it can finish in its grace time; a dial ends after 300 ms; within 3 s of the start jobs wait for workers; one side dials; a run is judged by its share from half of it on, or once overdue.

--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Duration kRetryAfterStart{1000};
+/// After a start, agents need this long at most to link: a failed dial and its
+/// pause, and the worker's next announcement.
+constexpr Duration kLearnWorkers{3000};
 
 }  // namespace
 
@@ -41,7 +44,8 @@
     refuse(StepAnswer::kNoRoute, "no such route");
     return;
   }
-  if (leaving_) {
+  if (leaves_at_ &&
+      now + scheduler_.ChainEstimate(submission.job) * 2 > *leaves_at_) {
     refuse(StepAnswer::kRefused, "this entry is leaving");
     return;
   }
@@ -73,10 +77,10 @@
 }
 
 bool StepEntryNode::IsReady(TimePoint now) const {
-  return !leaving_ && has_table() && scheduler_.accepting_workers(now) > 0;
+  return !leaves_at_ && has_table() && scheduler_.accepting_workers(now) > 0;
 }
 
-void StepEntryNode::Leave(TimePoint /*now*/) { leaving_ = true; }
+void StepEntryNode::Leave(TimePoint end) { leaves_at_ = end; }
 
 // ---- jobs sent again
 
@@ -219,7 +223,16 @@
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
-  LearnEntry(hello.link_address);
+  // It is linked, so it need not be dialled as well.
+  if (entry_addresses_.insert(hello.link_address).second) SendMembers();
+}
+
+void StepEntryNode::KnowEntries(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    if (entry_addresses_.insert(address).second) {
+      actions_.emplace_back(ConnectEntry{address});
+    }
+  }
 }
 
 void StepEntryNode::LearnEntry(const std::string& address) {
@@ -233,8 +246,11 @@
   bool learnt = false;
   for (const std::string& address : members.entry_addresses) {
     if (!entry_addresses_.insert(address).second) continue;
-    actions_.emplace_back(ConnectEntry{address});
     learnt = true;
+    // Both learn of each other; one of them dials.
+    if (options_.link_address < address) {
+      actions_.emplace_back(ConnectEntry{address});
+    }
   }
   if (learnt) SendMembers();
 }
@@ -303,6 +319,8 @@
 // ---- time
 
 void StepEntryNode::OnTick(TimePoint now) {
+  if (!started_) started_ = now;
+  scheduler_.SetLearning(now - *started_ < kLearnWorkers);
   EndHandovers(now);
   AnnounceJobs(now);
   CloseSilentLinks(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -51,6 +51,8 @@
 
   explicit StepEntryNode(StepEntryOptions options);
 
+  /// Entries of the settings; they are dialled.
+  void KnowEntries(const std::vector<std::string>& addresses);
   /// Dials an entry unless it is known, and tells the others of it.
   void LearnEntry(const std::string& address);
 
@@ -74,11 +76,11 @@
   void OnFrameEnd(TimePoint now);
   void OnTick(TimePoint now);
 
-  /// Begins to leave: nothing is admitted; what was admitted is finished.
-  void Leave(TimePoint now);
+  /// Begins to leave by `end`: admits only what can be finished before.
+  void Leave(TimePoint end);
   bool IsIdle() const { return scheduler_.open_jobs() == 0; }
   bool IsReady(TimePoint now) const;
-  bool leaving() const { return leaving_; }
+  bool leaving() const { return leaves_at_.has_value(); }
 
   std::vector<StepAction> TakeActions();
 
@@ -152,7 +154,8 @@
   std::vector<StepJobId> unannounced_;
   TimePoint next_announce_;
   TimePoint next_heartbeat_;
-  bool leaving_ = false;
+  std::optional<TimePoint> leaves_at_;
+  std::optional<TimePoint> started_;  ///< The first tick.
   std::vector<StepAction> actions_;
 };
 
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -71,7 +71,7 @@
   return "";
 }
 
-Duration StepScheduler::ChainEstimate(const StepJob& job) const {
+Duration StepScheduler::ChainEstimate(const StepJob& job) {
   std::vector<Duration> ends;
   Duration longest;
   for (const StepSpec& step : job.steps) {
@@ -131,7 +131,7 @@
   by_id_[kept.spec.id] = number;
   if (!unsupported.empty()) {
     Answer(kept, StepAnswer::kUnsupported, kRetryAfter, unsupported, now);
-  } else if (!fits) {
+  } else if (!fits && !learning_) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter,
            "no known worker can hold it", now);
   } else if (now + ExpectedWait(route.priority) > kept.latest_start) {
@@ -167,7 +167,7 @@
     }
   }
   const double share = capacity_ / static_cast<double>(entry_count_);
-  if (core_ms <= 0) return Duration(0);
+  if (core_ms <= 0 || (learning_ && share <= 0)) return Duration(0);
   return Duration(static_cast<std::int64_t>(core_ms / std::max(share, 0.1)));
 }
 
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -80,6 +80,10 @@
   void On(LinkId link, const AttemptList& list, TimePoint now);
   void On(LinkId link, const TaskEnd& end, TimePoint now);
 
+  /// The longest chain of estimates in the job.
+  static Duration ChainEstimate(const StepJob& job);
+  /// While workers are still being learnt of, a job that fits none waits.
+  void SetLearning(bool learning) { learning_ = learning; }
   /// The number of entries among which the workers' capacity is shared.
   void SetEntryCount(std::size_t entries) { entry_count_ = entries; }
   void SetTable(const RouteTable* table) { table_ = table; }
@@ -175,7 +179,6 @@
   double Capacity(TimePoint now) const;
   void MoveLateJobs(TimePoint now);
   std::string Unsupported(const StepJob& job, const Route& route) const;
-  Duration ChainEstimate(const StepJob& job) const;
   void Unblock(Job& job);
   bool PlaceTask(JobNumber number, Job& job, std::size_t step, std::size_t task,
                  TimePoint now);
@@ -220,6 +223,7 @@
   std::unordered_map<LinkId, Incarnation> by_link_;
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::size_t entry_count_ = 1;
+  bool learning_ = true;
   double median_slowness_ = 1;
   double capacity_ = 0;  ///< Processors of all accepting workers.
   std::vector<StepJobId> given_up_;
--- a/src/link/web_socket/web_socket.cc
+++ b/src/link/web_socket/web_socket.cc
@@ -15,7 +15,7 @@
 struct ClientConfig : websocketpp::config::asio_client {
   struct transport_config  // NOLINT(readability-identifier-naming)
       : websocketpp::config::asio_client::transport_config {
-    static const long timeout_connect = 1000;  // NOLINT; in milliseconds
+    static const long timeout_connect = 300;  // NOLINT; in milliseconds
   };
   using transport_type =  // NOLINT(readability-identifier-naming)
       websocketpp::transport::asio::endpoint<transport_config>;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -16,9 +16,10 @@
 constexpr Duration kLongestDialWait{500};
 /// The settings file is looked at this often, besides at SIGHUP.
 constexpr Duration kReloadInterval{3000};
-/// After SIGTERM, requests are still taken in for this long, until the
-/// platform has seen that the entry is not ready.
-constexpr Duration kShutdownLinger{2200};
+/// After SIGTERM, requests are still taken in for at least this long: until the
+/// platform has seen that the entry is not ready, and open connections have
+/// been closed behind an answer.
+constexpr Duration kShutdownLinger{3500};
 /// Left for the end of the process before SIGKILL.
 constexpr Duration kShutdownMargin{300};
 
@@ -66,9 +67,8 @@
             {{"incarnation", ToString(settings_.node.incarnation)},
              {"caller_address", settings_.caller_address},
              {"link_address", link_address}});
-  for (const std::string& address : settings_.entry_addresses) {
-    if (address != link_address) links_.Keep(address);
-  }
+  node_.KnowEntries(settings_.entry_addresses);
+  Carry();
   boost::asio::post(loop_.control(), [this] { FollowOperator(); });
   loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
             [this] { ReloadSettings(true); });
@@ -269,7 +269,7 @@
 void StepEntryServer::OnTerminate(int count) {
   if (count > 1) return;
   leaving_since_ = clock_.Now();
-  node_.Leave(*leaving_since_);
+  node_.Leave(*leaving_since_ + settings_.grace - kShutdownMargin);
   callers_.CloseAfterAnswers();
   LogChange(LogLevel::kInfo, "leaving", {});
   Carry();
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -33,10 +33,10 @@
 /// One per cent of a run's share done takes a hundredth of its time; this many
 /// of them without a change is no slow run.
 constexpr std::int64_t kStallShare = 4;
-/// A run's speed is measured once it has run this long ...
-constexpr Duration kMeasureAfter{30};
-/// ... and done this many per cent, so that rounding matters little.
-constexpr int kMeasureShare = 10;
+/// A run's speed is measured once it has done this many per cent ...
+constexpr int kMeasureShare = 50;
+/// ... or has taken this many times its estimate.
+constexpr std::int64_t kOverdueEstimates = 2;
 /// From this slowness on, runs are returned to be started elsewhere if what is
 /// left of them takes longer than `kMoveGain` per cent of their estimate.
 constexpr double kMoveSlowness = 2.5;
@@ -704,21 +704,22 @@
   });
 }
 
-// Shares done tell the speed of the worker long before runs end.
+// Shares done tell the speed of the worker before long runs end. They lag at
+// the beginning of a run, so only later ones count.
 void WorkerSession::MeasureRuns(TimePoint now) {
   std::vector<AttemptId> too_slow;
   for (auto& [id, attempt] : attempts_) {
-    if (attempt.state != State::kRunning || attempt.percent == 0) continue;
+    if (attempt.state != State::kRunning) continue;
     const Duration ran = now - attempt.began;
-    if (ran < kMeasureAfter) continue;
-    const Duration whole = ran * 100 / attempt.percent;
     const Duration estimate = attempt.order.estimate;
-    if (!attempt.measured && attempt.percent >= kMeasureShare) {
+    const Duration whole = ran * 100 / std::max(1, attempt.percent);
+    const bool overdue = ran > estimate * kOverdueEstimates;
+    if (!attempt.measured && (attempt.percent >= kMeasureShare || overdue)) {
       attempt.measured = true;
       record_.CountRun(whole, estimate);
     }
-    const bool worth_moving = whole - ran > estimate * kMoveGain / 100;
-    if (record_.slowness() > kMoveSlowness && worth_moving) {
+    if (record_.slowness() > kMoveSlowness && ran > estimate &&
+        whole - ran > estimate * kMoveGain / 100) {
       too_slow.push_back(id);
     }
   }
