--- /dev/null
+++ b/tests/route_follower_test.cc
@@ -0,0 +1,116 @@
+#include "data_centre/route_follower.h"
+
+#include <catch2/catch.hpp>
+
+namespace geranium {
+namespace {
+
+class RouteFollowerTest {
+ protected:
+  static OperatorRecord Manifest(std::int64_t offset, std::uint64_t version) {
+    RouteTable table;
+    table.version = version;
+    return {LogOffset(offset), table};
+  }
+  static OperatorRecord Change(std::int64_t offset, const std::string& name,
+                               bool out) {
+    return {LogOffset(offset), DataCentreChange{DataCentreName(name), out}};
+  }
+  static Result<NewestRecords> Page(std::vector<OperatorRecord> records,
+                                    std::int64_t end) {
+    NewestRecords page;
+    page.records = std::move(records);
+    page.end = LogOffset(end);
+    return page;
+  }
+  static Result<OperatorRecords> Tail(std::vector<OperatorRecord> records) {
+    OperatorRecords tail;
+    tail.records = std::move(records);
+    return tail;
+  }
+  static Error Outage() {
+    return {ErrorCode::kConnection, "read", "store", "timeout",
+            Execution::kNotRun};
+  }
+
+  RouteFollower follower_;
+};
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower an empty log is followed until a manifest "
+                 "comes") {
+  CHECK(follower_.Next().kind == LogStep::Kind::kNewest);
+  CHECK_FALSE(follower_.OnNewest(Page({}, 0)).has_value());
+  CHECK(follower_.Next().kind == LogStep::Kind::kTail);
+  const auto table = follower_.OnTail(Tail({Manifest(0, 3)}));
+  REQUIRE(table.has_value());
+  CHECK(table->version == 3);
+  CHECK(follower_.Next().from == LogOffset(1));
+}
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower an older manifest never replaces a newer one") {
+  (void)follower_.OnNewest(Page({Manifest(4, 9)}, 5));
+  CHECK_FALSE(follower_.OnTail(Tail({Manifest(5, 7)})).has_value());
+  CHECK(follower_.OnTail(Tail({Manifest(6, 11)}))->version == 11);
+}
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower a data centre goes out and comes back") {
+  (void)follower_.OnNewest(Page({Manifest(4, 9)}, 5));
+  CHECK(follower_.OnTail(Tail({Change(5, "szeged", true)}))
+            ->IsOut(DataCentreName("szeged")));
+  CHECK_FALSE(follower_.OnTail(Tail({Change(6, "szeged", false)}))
+                  ->IsOut(DataCentreName("szeged")));
+}
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower a log that has forgotten records is read anew, "
+                 "and what is no longer listed is back in") {
+  (void)follower_.OnNewest(Page({Manifest(4, 9), Change(3, "gyor", true)}, 5));
+  OperatorRecords expired;
+  expired.expired = true;
+  CHECK_FALSE(follower_.OnTail(expired).has_value());
+  CHECK(follower_.Next().kind == LogStep::Kind::kNewest);
+  const auto table = follower_.OnNewest(Page({Manifest(14, 12)}, 20));
+  REQUIRE(table.has_value());
+  CHECK(table->version == 12);
+  CHECK_FALSE(table->IsOut(DataCentreName("gyor")));
+  CHECK(follower_.Next().from == LogOffset(20));
+}
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower while the log is out it pauses longer and "
+                 "longer, logs once and keeps its place") {
+  (void)follower_.OnNewest(Page({Manifest(4, 9)}, 5));
+  (void)follower_.OnTail(Outage());
+  const Duration first = follower_.Next().pause;
+  for (int i = 0; i < 6; ++i) (void)follower_.OnTail(Outage());
+  CHECK(follower_.Next().pause > first);
+  // A change has to be in force within two seconds of the log's return.
+  CHECK(follower_.Next().pause < Duration(500));
+  CHECK(follower_.Next().from == LogOffset(5));
+  CHECK(follower_.TakeNotes().size() == 1);
+  (void)follower_.OnTail(Tail({}));
+  CHECK(follower_.Next().pause == Duration(0));
+  CHECK(follower_.TakeNotes().size() == 1);
+}
+
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower several pages are one listing") {
+  NewestRecords first;
+  first.records = {Change(2, "gyor", true)};
+  first.end = LogOffset(6);
+  first.last_key = "evacuate/gyor";
+  first.has_more = true;
+  CHECK_FALSE(follower_.OnNewest(first).has_value());
+  CHECK(follower_.Next().after_key == "evacuate/gyor");
+  const auto table = follower_.OnNewest(Page({Manifest(4, 9)}, 9));
+  REQUIRE(table.has_value());
+  CHECK(table->IsOut(DataCentreName("gyor")));
+  // What was written between the pages is read again.
+  CHECK(follower_.Next().from == LogOffset(6));
+}
+
+}  // namespace
+}  // namespace geranium
