--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -42,8 +42,7 @@
   }
 
   static std::string Record(const std::string& key, const std::string& value) {
-    const std::string content =
-        static_cast<char>(key.size()) + key + value;
+    const std::string content = static_cast<char>(key.size()) + key + value;
     return Number(content.size(), 4) + content;
   }
 };
@@ -69,14 +68,15 @@
   const std::string good =
       R"({"service":"s","zone":"z","state":"ready","capacity":{"cpu":1},"seq":4})";
   REQUIRE(ReadAnnouncement(Announcement(good)).has_value());
-  for (const std::string bad :
-       {"", "\xff\xfe", "[]", "{}",
-        R"({"service":5,"zone":"z","state":"ready","capacity":{},"seq":4})",
-        R"({"service":"s","zone":"z","state":"gone","capacity":{},"seq":4})",
-        R"({"service":"s","zone":"z","state":"ready","capacity":7,"seq":4})",
-        R"({"service":"s","zone":"z","state":"ready","seq":4})",
-        R"({"service":"s","zone":"z","state":"ready","capacity":{},"seq":"x"})",
-        R"({"service":"s","zone":"z","state":"ready","capacity":{},"seq":4,"labels":[3]})"}) {
+  for (
+      const std::string bad :
+      {"", "\xff\xfe", "[]", "{}",
+       R"({"service":5,"zone":"z","state":"ready","capacity":{},"seq":4})",
+       R"({"service":"s","zone":"z","state":"gone","capacity":{},"seq":4})",
+       R"({"service":"s","zone":"z","state":"ready","capacity":7,"seq":4})",
+       R"({"service":"s","zone":"z","state":"ready","seq":4})",
+       R"({"service":"s","zone":"z","state":"ready","capacity":{},"seq":"x"})",
+       R"({"service":"s","zone":"z","state":"ready","capacity":{},"seq":4,"labels":[3]})"}) {
     CAPTURE(bad);
     const auto read = ReadAnnouncement(Announcement(bad));
     REQUIRE_FALSE(read.has_value());
@@ -134,7 +134,8 @@
   CHECK(ToResponse(answer).status == 504);
 }
 
-TEST_CASE_METHOD(PlatformTest, "Orders' answers are read by status and reason") {
+TEST_CASE_METHOD(PlatformTest,
+                 "Orders' answers are read by status and reason") {
   const auto reply = [](int status, const std::string& body) {
     return ReadOrderOutcome(Answer(status, body)).reply;
   };
@@ -177,10 +178,11 @@
                  "Operator's log read in records keeps keys, values, offsets") {
   const std::string body =
       Number(12, 8) + Number(0, 8) +
-      Record("config",
-             R"({"version":7,"routes":[{"name":"r","host":"h",)"
-             R"("path-prefix":"/p/","service":"s","priority":1,)"
-             R"("target-latency-ms":60,"slack-factor":1.6,"max-attempts":2}]})") +
+      Record(
+          "config",
+          R"({"version":7,"routes":[{"name":"r","host":"h",)"
+          R"("path-prefix":"/p/","service":"s","priority":1,)"
+          R"("target-latency-ms":60,"slack-factor":1.6,"max-attempts":2}]})") +
       Record("evacuate/szeged", "{}") + Record("evacuate/szeged", "") +
       Record("config", "not json") + Record("wave/1", "{}");
   const auto read = ReadTail("store", LogOffset(7), Answer(200, body));
@@ -205,10 +207,10 @@
             .expired);
   CHECK_FALSE(ReadTail("store", LogOffset(7), Answer(429, "")).has_value());
   CHECK_FALSE(ReadTail("store", LogOffset(7), Answer(200, "abc")).has_value());
-  CHECK_FALSE(ReadTail("store", LogOffset(7),
-                       Answer(200, Number(1, 8) + Number(0, 8) +
-                                       Number(900, 4) + "x"))
-                  .has_value());
+  CHECK_FALSE(
+      ReadTail("store", LogOffset(7),
+               Answer(200, Number(1, 8) + Number(0, 8) + Number(900, 4) + "x"))
+          .has_value());
   CHECK_FALSE(ReadNewest("store", Answer(503, "")).has_value());
   CHECK_FALSE(ReadNewest("store", Answer(200, "{}")).has_value());
   // An item that cannot be read takes no other down.
--- /dev/null
+++ b/tests/process/process_group.cc
@@ -0,0 +1,74 @@
+#include "process/process_group.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+
+extern char** environ;
+
+namespace geranium::process {
+namespace {
+
+pid_t Launch(const std::vector<std::string>& words, const char* output) {
+  std::vector<char*> arguments;
+  for (const std::string& word : words) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output,
+                                   O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  pid_t pid = 0;
+  const int error = posix_spawn(&pid, arguments[0], &actions, nullptr,
+                                arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  return error == 0 ? pid : -1;
+}
+
+int Reap(pid_t pid) {
+  int status = 0;
+  waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+}  // namespace
+
+std::string Program(const std::string& name) {
+  return std::string(GERANIUM_BUILD_DIR) + "/" + name;
+}
+
+int RunProgram(const std::vector<std::string>& words) {
+  const pid_t pid = Launch(words, "/dev/null");
+  return pid < 0 ? -1 : Reap(pid);
+}
+
+ProcessGroup::~ProcessGroup() {
+  for (const auto& [name, pid] : processes_) kill(pid, SIGKILL);
+  for (const auto& [name, pid] : processes_) Reap(pid);
+}
+
+void ProcessGroup::Spawn(const std::string& name,
+                         const std::vector<std::string>& words) {
+  const std::string output =
+      Program("process-test-" + std::to_string(port_) + "-" + name + ".log");
+  const pid_t pid = Launch(words, output.c_str());
+  REQUIRE(pid > 0);
+  processes_[name] = pid;
+}
+
+void ProcessGroup::Signal(const std::string& name, int signal) {
+  REQUIRE(kill(processes_.at(name), signal) == 0);
+}
+
+int ProcessGroup::AwaitExit(const std::string& name) {
+  const pid_t pid = processes_.at(name);
+  processes_.erase(name);
+  return Reap(pid);
+}
+
+}  // namespace geranium::process
--- a/tests/process/process_site.cc
+++ b/tests/process/process_site.cc
@@ -1,17 +1,10 @@
 #include "process/process_site.h"
 
-#include <fcntl.h>
-#include <signal.h>
-#include <spawn.h>
-#include <sys/wait.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <thread>
 
-extern char** environ;
-
 namespace geranium::process {
 namespace {
 
@@ -23,30 +16,6 @@
     "[service booking]\ntimeout_ms = 3000\n"
     "[service batch]\nclass = bulk\ntimeout_ms = 5000\n";
 
-pid_t Launch(const std::vector<std::string>& words, const char* output) {
-  std::vector<char*> arguments;
-  for (const std::string& word : words) {
-    arguments.push_back(const_cast<char*>(word.c_str()));
-  }
-  arguments.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, output,
-                                   O_WRONLY | O_CREAT | O_TRUNC, 0600);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  pid_t pid = 0;
-  const int error = posix_spawn(&pid, arguments[0], &actions, nullptr,
-                                arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  return error == 0 ? pid : -1;
-}
-
-int Reap(pid_t pid) {
-  int status = 0;
-  waitpid(pid, &status, 0);
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-}
-
 }  // namespace
 
 std::string Answer::Execution() const {
@@ -63,21 +32,12 @@
   return true;
 }
 
-std::string Program(const std::string& name) {
-  return std::string(GERANIUM_BUILD_DIR) + "/" + name;
-}
-
-int RunProgram(const std::vector<std::string>& words) {
-  const pid_t pid = Launch(words, "/dev/null");
-  return pid < 0 ? -1 : Reap(pid);
-}
-
-ProcessSite::ProcessSite(int port) : port_(port) {
-  Spawn("log", {Program("platform-log"), "--listen", Log()});
+ProcessSite::ProcessSite(int port) : port_(port), processes_(port) {
+  processes_.Spawn("log", {Program("platform-log"), "--listen", Log()});
   for (int i = 1; i <= kEntries; ++i) StartEntry(i);
   for (int i = 1; i <= kWorkers; ++i) {
-    Spawn("backend-" + std::to_string(i),
-          {Program("backend-server"), "--listen", Backend(i)});
+    processes_.Spawn("backend-" + std::to_string(i),
+                     {Program("backend-server"), "--listen", Backend(i)});
     StartAgent(i);
   }
   REQUIRE(
@@ -88,44 +48,31 @@
   AwaitWorkers(kWorkers);
 }
 
-ProcessSite::~ProcessSite() {
-  for (const auto& [name, pid] : processes_) kill(pid, SIGKILL);
-  for (const auto& [name, pid] : processes_) Reap(pid);
-}
-
 std::string ProcessSite::Address(int offset) const {
   return "127.0.0.1:" + std::to_string(port_ + offset);
 }
 
-void ProcessSite::Spawn(const std::string& name,
-                        std::vector<std::string> words) {
-  const std::string output =
-      Program("process-test-" + std::to_string(port_) + "-" + name + ".log");
-  const pid_t pid = Launch(words, output.c_str());
-  REQUIRE(pid > 0);
-  processes_[name] = pid;
-}
-
 void ProcessSite::StartEntry(int entry) {
-  Spawn("entry-" + std::to_string(entry),
-        {Program("geranium-entry"), "--set",
-         "entry.id=entry-" + std::to_string(entry), "--set",
-         "entry.link_address=" + EntryLink(entry), "--set",
-         "entry.http_address=" + EntryHttp(entry), "--set",
-         "peers.entries=" + EntryLink(1) + "," + EntryLink(2), "--set",
-         "log.address=" + Log()});
+  processes_.Spawn("entry-" + std::to_string(entry),
+                   {Program("geranium-entry"), "--set",
+                    "entry.id=entry-" + std::to_string(entry), "--set",
+                    "entry.link_address=" + EntryLink(entry), "--set",
+                    "entry.http_address=" + EntryHttp(entry), "--set",
+                    "peers.entries=" + EntryLink(1) + "," + EntryLink(2),
+                    "--set", "log.address=" + Log()});
 }
 
 void ProcessSite::StartAgent(int worker) {
   const std::string centre = kCentres[(worker - 1) % 2];
-  Spawn("agent-" + std::to_string(worker),
-        {Program("geranium-agent"), "--set",
-         "worker.id=worker-" + std::to_string(worker), "--set",
-         "worker.data_centre=" + centre, "--set",
-         "worker.services=lookup,booking,batch", "--set", "worker.slots=4",
-         "--set", "worker.http_address=" + AgentHttp(worker), "--set",
-         "backend.address=" + Backend(worker), "--set",
-         "entries.addresses=" + EntryLink(1) + "," + EntryLink(2)});
+  processes_.Spawn(
+      "agent-" + std::to_string(worker),
+      {Program("geranium-agent"), "--set",
+       "worker.id=worker-" + std::to_string(worker), "--set",
+       "worker.data_centre=" + centre, "--set",
+       "worker.services=lookup,booking,batch", "--set", "worker.slots=4",
+       "--set", "worker.http_address=" + AgentHttp(worker), "--set",
+       "backend.address=" + Backend(worker), "--set",
+       "entries.addresses=" + EntryLink(1) + "," + EntryLink(2)});
 }
 
 void ProcessSite::AwaitWorkers(std::size_t workers) {
@@ -147,16 +94,6 @@
   REQUIRE(up);
 }
 
-void ProcessSite::Signal(const std::string& name, int signal) {
-  REQUIRE(kill(processes_.at(name), signal) == 0);
-}
-
-int ProcessSite::AwaitExit(const std::string& name) {
-  const pid_t pid = processes_.at(name);
-  processes_.erase(name);
-  return Reap(pid);
-}
-
 Answer ProcessSite::Call(const std::string& address, const std::string& method,
                          const std::string& target, const Json& body,
                          std::map<std::string, std::string> headers) const {
--- a/tests/process/process_site.h
+++ b/tests/process/process_site.h
@@ -1,8 +1,6 @@
 #ifndef GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
 #define GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
 
-#include <sys/types.h>
-
 #include <functional>
 #include <future>
 #include <map>
@@ -12,6 +10,7 @@
 
 #include "base/clock.h"
 #include "operator/site.h"
+#include "process/process_group.h"
 #include "runtime/http_client.h"
 
 namespace geranium::process {
@@ -36,7 +35,6 @@
 
   /// `port` is the first of 400 that the site may use.
   explicit ProcessSite(int port);
-  ~ProcessSite();
   ProcessSite(const ProcessSite&) = delete;
   ProcessSite& operator=(const ProcessSite&) = delete;
 
@@ -45,9 +43,10 @@
   /// Waits until every entry counts so many live workers.
   void AwaitWorkers(std::size_t workers);
 
-  void Signal(const std::string& name, int signal);
-  /// The exit status; -1 if a signal ended it.
-  int AwaitExit(const std::string& name);
+  void Signal(const std::string& name, int signal) {
+    processes_.Signal(name, signal);
+  }
+  int AwaitExit(const std::string& name) { return processes_.AwaitExit(name); }
 
   Answer Call(const std::string& address, const std::string& method,
               const std::string& target, const Json& body = Json(),
@@ -81,22 +80,16 @@
 
  private:
   std::string Address(int offset) const;
-  void Spawn(const std::string& name, std::vector<std::string> words);
   Json StartsAt(int worker) const;
 
   int port_;
-  std::map<std::string, pid_t> processes_;
+  ProcessGroup processes_;
 };
 
 /// Waits until `holds`, for at most `patience`; the last value of it.
 bool Eventually(const std::function<bool()>& holds,
                 Duration patience = Duration(10'000));
 
-/// The path of a program that was built.
-std::string Program(const std::string& name);
-/// Runs a program to its end; its exit status.
-int RunProgram(const std::vector<std::string>& words);
-
 }  // namespace geranium::process
 
 #endif  // GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
