--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -14,9 +14,7 @@
 }  // namespace
 
 StepEntryNode::StepEntryNode(StepEntryOptions options)
-    : options_(std::move(options)),
-      random_(options_.seed),
-      scheduler_(options_.scheduler, random_) {
+    : options_(std::move(options)), scheduler_(options_.scheduler) {
   scheduler_.SetTable(&table_);
   entry_addresses_.insert(options_.link_address);
 }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -10,7 +10,6 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "base/random.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
 #include "entry/step_actions.h"
@@ -23,7 +22,6 @@
   EntryId id;
   Incarnation incarnation;
   std::string link_address;
-  std::uint64_t seed = 1;
   StepSchedulerOptions scheduler;
 };
 
@@ -140,7 +138,6 @@
   void CollectActions(TimePoint now);
 
   StepEntryOptions options_;
-  Random random_;
   RouteTable table_;
   StepScheduler scheduler_;
   std::map<LinkId, Peer> peers_;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -36,8 +36,8 @@
 
 }  // namespace
 
-StepScheduler::StepScheduler(StepSchedulerOptions options, Random& random)
-    : options_(std::move(options)), random_(random) {}
+StepScheduler::StepScheduler(StepSchedulerOptions options)
+    : options_(std::move(options)) {}
 
 std::vector<StepAction> StepScheduler::TakeActions() {
   return std::exchange(actions_, {});
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -11,7 +11,6 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "base/random.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
 #include "entry/step_actions.h"
@@ -50,7 +49,7 @@
   /// agent stops it when our proofs of life cease, or its lease runs out.
   static constexpr Duration kLost{1350};
 
-  StepScheduler(StepSchedulerOptions options, Random& random);
+  explicit StepScheduler(StepSchedulerOptions options);
 
   // Callers.
 
@@ -210,7 +209,6 @@
   void Log(LogLevel level, const std::string& event, LogFields fields);
 
   StepSchedulerOptions options_;
-  Random& random_;
   const RouteTable* table_ = nullptr;
   JobNumber next_job_ = 1;
   std::uint64_t next_attempt_ = 1;
--- a/src/programs/geranium_agent.cc
+++ b/src/programs/geranium_agent.cc
@@ -17,7 +17,8 @@
   const auto settings = read();
   if (!settings) return geranium::FailSettings(program, settings.error());
   if (command_line.check) return 0;
-  geranium::StartLogging(program, settings.value().node.name);
+  geranium::StartLogging(program, settings.value().node.name,
+                         geranium::LogTarget::kStandardOutput);
   return geranium::StepAgentServer(settings.value(), read).Run();
 }
 
--- /dev/null
+++ b/src/runtime/family_builder.cc
@@ -0,0 +1,39 @@
+#include "runtime/family_builder.h"
+
+#include <sys/resource.h>
+
+namespace geranium {
+namespace {
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double ResidentBytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) * 1024;
+}
+
+}  // namespace
+
+void AddProcessMetrics(FamilyBuilder& builder, const PeerLinks& links) {
+  builder.Counter("process_cpu_seconds_total",
+                  "Processor time of the process in seconds",
+                  ProcessorSeconds());
+  builder.Gauge("process_resident_memory_max_bytes",
+                "Largest resident set of the process in bytes",
+                ResidentBytes());
+  builder.Counter("geranium_link_frames_sent_total", "Frames sent to peers",
+                  Count(links.frames_sent()));
+  builder.Counter("geranium_link_sent_bytes_total", "Bytes sent to peers",
+                  Count(links.bytes_sent()));
+}
+
+}  // namespace geranium
--- a/src/runtime/logging.cc
+++ b/src/runtime/logging.cc
@@ -45,10 +45,12 @@
 
 }  // namespace
 
-void StartLogging(const std::string& program, const std::string& instance) {
+void StartLogging(const std::string& program, const std::string& instance,
+                  LogTarget target) {
   static log4cplus::Initializer initializer;
   const auto appender =
-      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
+          target == LogTarget::kStandardError, true));
   const std::string pattern =
       "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p program=" + program +
       " instance=" + Quoted(instance) + " %m%n";
--- a/src/runtime/logging.h
+++ b/src/runtime/logging.h
@@ -9,8 +9,11 @@
 
 namespace geranium {
 
-/// Begins logging to standard error: one line of key=value pairs each.
-void StartLogging(const std::string& program, const std::string& instance);
+enum class LogTarget { kStandardOutput, kStandardError };
+
+/// Begins logging: one line of key=value pairs each.
+void StartLogging(const std::string& program, const std::string& instance,
+                  LogTarget target = LogTarget::kStandardError);
 
 /// Logs a change of state. `event` is a fixed name; what varies is in fields.
 void LogChange(LogLevel level, const std::string& event,
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -1,80 +1,16 @@
 #include "runtime/metrics.h"
 
 #include <prometheus/text_serializer.h>
-#include <sys/resource.h>
 
 #include <utility>
 
 #include "base/invariant.h"
+#include "runtime/family_builder.h"
 
 namespace geranium {
 namespace {
 
-using prometheus::ClientMetric;
-using prometheus::MetricType;
-using Labels = std::vector<std::pair<std::string, std::string>>;
-
-class FamilyBuilder {
- public:
-  void Counter(const std::string& name, const std::string& help, double value,
-               const Labels& labels = {}) {
-    ClientMetric& metric = Add(name, help, MetricType::Counter, labels);
-    metric.counter.value = value;
-  }
-
-  void Gauge(const std::string& name, const std::string& help, double value,
-             const Labels& labels = {}) {
-    ClientMetric& metric = Add(name, help, MetricType::Gauge, labels);
-    metric.gauge.value = value;
-  }
-
-  MetricFamilies Take() { return std::move(families_); }
-
- private:
-  ClientMetric& Add(const std::string& name, const std::string& help,
-                    MetricType type, const Labels& labels) {
-    if (families_.empty() || families_.back().name != name) {
-      families_.push_back({name, help, type, {}});
-    }
-    ClientMetric& metric = families_.back().metric.emplace_back();
-    for (const auto& [key, value] : labels)
-      metric.label.push_back({key, value});
-    return metric;
-  }
-
-  MetricFamilies families_;
-};
-
-double Count(std::uint64_t value) { return static_cast<double>(value); }
-
-double ProcessorSeconds() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) +
-           static_cast<double>(time.tv_usec) / 1e6;
-  };
-  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
-double ResidentBytes() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  return static_cast<double>(usage.ru_maxrss) * 1024;
-}
-
-void AddProcess(FamilyBuilder& builder, const PeerLinks& links) {
-  builder.Counter("process_cpu_seconds_total",
-                  "Processor time of the process in seconds",
-                  ProcessorSeconds());
-  builder.Gauge("process_resident_memory_max_bytes",
-                "Largest resident set of the process in bytes",
-                ResidentBytes());
-  builder.Counter("geranium_link_frames_sent_total", "Frames sent to peers",
-                  Count(links.frames_sent()));
-  builder.Counter("geranium_link_sent_bytes_total", "Bytes sent to peers",
-                  Count(links.bytes_sent()));
-}
+using Labels = FamilyBuilder::Labels;
 
 void AddInvariants(FamilyBuilder& builder) {
   const InvariantMonitor& monitor = InvariantMonitor::Global();
@@ -167,7 +103,7 @@
                 "1 if the version in force is confirmed",
                 node.IsFresh(now) ? 1 : 0);
   AddInvariants(builder);
-  AddProcess(builder, links);
+  AddProcessMetrics(builder, links);
   return builder.Take();
 }
 
@@ -202,7 +138,7 @@
                 "1 if the version in force is confirmed",
                 node.gate().IsFresh(now) ? 1 : 0);
   AddInvariants(builder);
-  AddProcess(builder, links);
+  AddProcessMetrics(builder, links);
   return builder.Take();
 }
 
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -5,6 +5,7 @@
 
 #include "platform/worker_api.h"
 #include "runtime/logging.h"
+#include "runtime/step_metrics.h"
 
 namespace geranium {
 namespace {
@@ -35,17 +36,22 @@
               [this] { Carry(); }},
           settings_.node.incarnation.value(), kLongestDialWait),
       http_(loop_.traffic()),
-      registration_(loop_.traffic(), [this](const ExchangePtr& exchange) {
-        OnRegistration(exchange);
+      registration_(
+          loop_.traffic(),
+          [this](const ExchangePtr& exchange) { OnRegistration(exchange); }),
+      metrics_(loop_.traffic(), [this](const ExchangePtr& exchange) {
+        OnMetricsRequest(exchange);
       }) {}
 
 int StepAgentServer::Run() {
-  const std::string problem =
-      registration_.Listen(settings_.registration_address);
-  if (!problem.empty()) {
-    LogChange(
-        LogLevel::kError, "listen_failed",
-        {{"address", settings_.registration_address}, {"message", problem}});
+  const std::string& registration = settings_.registration_address;
+  const std::string& metrics = settings_.metrics_address;
+  for (const auto& [address, problem] :
+       {std::pair(registration, registration_.Listen(registration)),
+        std::pair(metrics, metrics_.Listen(metrics))}) {
+    if (problem.empty()) continue;
+    LogChange(LogLevel::kError, "listen_failed",
+              {{"address", address}, {"message", problem}});
     return 1;
   }
   LogChange(LogLevel::kInfo, "started",
@@ -156,6 +162,17 @@
   log_.Write(note, clock_.Now());
 }
 
+void StepAgentServer::OnMetricsRequest(const ExchangePtr& exchange) {
+  boost::asio::post(loop_.control(), [this, exchange] {
+    MetricFamilies families = StepAgentMetrics(session_, links_, clock_.Now());
+    HttpResponse response;
+    response.status = exchange->request().path == "/metrics" ? 200 : 404;
+    response.content_type = "text/plain; version=0.0.4";
+    if (response.status == 200) response.body = MetricsText(families);
+    exchange->Reply(std::move(response));
+  });
+}
+
 // ---- time and the end
 
 void StepAgentServer::OnTick() {
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -43,6 +43,7 @@
   void Carry(const LogNote& note);
   template <class Order, class OnOutcome>
   void Call(const Order& order, OnOutcome on_outcome);
+  void OnMetricsRequest(const ExchangePtr& exchange);  // traffic
   void OnTick();
   void OnTerminate(int count);
   void ReloadSettings(bool asked);
@@ -57,6 +58,7 @@
   PeerLinks links_;
   HttpClient http_;          // traffic
   HttpServer registration_;  // traffic
+  HttpServer metrics_;       // traffic
   std::optional<TimePoint> leaving_since_;
   bool stopped_runs_ = false;
   int exit_status_ = 0;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -40,14 +40,16 @@
                    node_.OnFrameEnd(clock_.Now());
                    Carry();
                  }},
-             settings_.node.seed, kLongestDialWait),
+             settings_.node.incarnation.value(), kLongestDialWait),
       http_(loop_.traffic()),
       callers_(
           loop_.traffic(),
           [this](const ExchangePtr& exchange) { OnRequest(exchange); },
           HttpServer::HalfClose::kGone),
-      ready_(loop_.traffic(), [this](const ExchangePtr& exchange) {
-        OnReadyRequest(exchange);
+      ready_(loop_.traffic(),
+             [this](const ExchangePtr& exchange) { OnReadyRequest(exchange); }),
+      metrics_(loop_.traffic(), [this](const ExchangePtr& exchange) {
+        OnMetricsRequest(exchange);
       }) {}
 
 int StepEntryServer::Run() {
@@ -57,7 +59,9 @@
         std::pair(settings_.caller_address,
                   callers_.Listen(settings_.caller_address)),
         std::pair(settings_.ready_address,
-                  ready_.Listen(settings_.ready_address))}) {
+                  ready_.Listen(settings_.ready_address)),
+        std::pair(settings_.metrics_address,
+                  metrics_.Listen(settings_.metrics_address))}) {
     if (problem.empty()) continue;
     LogChange(LogLevel::kError, "listen_failed",
               {{"address", address}, {"message", problem}});
@@ -118,7 +122,7 @@
       loop_.control(),
       [this, exchange, submission = std::move(submission.value())]() mutable {
         const CallerHandle caller(next_caller_++);
-        waiting_[caller] = exchange;
+        waiting_[caller] = Waiting{exchange, clock_.Now()};
         exchange->SetOnGone([this, caller] {
           boost::asio::post(loop_.control(), [this, caller] {
             waiting_.erase(caller);
@@ -183,7 +187,8 @@
 void StepEntryServer::Carry(const AnswerStepJob& action) {
   const auto found = waiting_.find(action.caller);
   if (found == waiting_.end()) return;
-  found->second->Reply(platform::ToResponse(action));
+  answer_times_.Observe(action.answer, clock_.Now() - found->second.since);
+  found->second.exchange->Reply(platform::ToResponse(action));
   waiting_.erase(found);
 }
 
@@ -223,6 +228,20 @@
   FollowOperator();
 }
 
+void StepEntryServer::OnMetricsRequest(const ExchangePtr& exchange) {
+  boost::asio::post(loop_.control(), [this, exchange] {
+    MetricFamilies families = StepEntryMetrics(node_, links_, clock_.Now());
+    for (auto& family : answer_times_.Collect()) {
+      families.push_back(std::move(family));
+    }
+    HttpResponse response;
+    response.status = exchange->request().path == "/metrics" ? 200 : 404;
+    response.content_type = "text/plain; version=0.0.4";
+    if (response.status == 200) response.body = MetricsText(families);
+    exchange->Reply(std::move(response));
+  });
+}
+
 // ---- time and the end
 
 void StepEntryServer::OnTick() {
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -14,6 +14,7 @@
 #include "runtime/http_server.h"
 #include "runtime/peer_links.h"
 #include "runtime/process_loop.h"
+#include "runtime/step_metrics.h"
 #include "settings/step_settings.h"
 
 namespace geranium {
@@ -46,6 +47,7 @@
   void Carry(const LogNote& note);
   void FollowOperator();
   void OnOperatorLog(const LogStep& step, const HttpOutcome& outcome);
+  void OnMetricsRequest(const ExchangePtr& exchange);  // traffic
   void OnTick();
   void OnTerminate(int count);
   void ReloadSettings(bool asked);
@@ -62,8 +64,15 @@
   HttpClient http_;     // traffic
   HttpServer callers_;  // traffic
   HttpServer ready_;    // traffic
+  HttpServer metrics_;  // traffic
   std::uint64_t next_caller_ = 1;
-  std::unordered_map<CallerHandle, ExchangePtr> waiting_;
+  struct Waiting {
+    ExchangePtr exchange;
+    TimePoint since;
+  };
+
+  StepAnswerTimes answer_times_;
+  std::unordered_map<CallerHandle, Waiting> waiting_;
   std::optional<TimePoint> leaving_since_;
   int exit_status_ = 0;
 };
--- /dev/null
+++ b/src/runtime/step_metrics.cc
@@ -0,0 +1,103 @@
+#include "runtime/step_metrics.h"
+
+#include "runtime/family_builder.h"
+
+namespace geranium {
+
+MetricFamilies StepEntryMetrics(const StepEntryNode& node,
+                                const PeerLinks& links, TimePoint now) {
+  FamilyBuilder builder;
+  const StepScheduler& scheduler = node.scheduler();
+  const StepCounters& counts = scheduler.counters();
+  builder.Counter("geranium_step_jobs_total", "Step jobs handed in",
+                  Count(counts.submitted));
+  const std::string answers = "geranium_step_answers_total";
+  const std::string help = "Step jobs by how they were answered";
+  builder.Counter(answers, help, Count(counts.completed),
+                  {{"answer", "completed"}});
+  builder.Counter(answers, help, Count(counts.failed), {{"answer", "failed"}});
+  builder.Counter(answers, help, Count(counts.refused),
+                  {{"answer", "refused"}});
+  builder.Counter(answers, help, Count(counts.abandoned),
+                  {{"answer", "abandoned"}});
+  builder.Counter("geranium_step_cancelled_total",
+                  "Step jobs whose caller left", Count(counts.cancelled));
+  builder.Counter("geranium_step_orders_total", "Orders sent to agents",
+                  Count(counts.orders));
+  builder.Counter("geranium_step_orders_returned_total",
+                  "Orders that came back without a start",
+                  Count(counts.bounced));
+  builder.Counter("geranium_step_runs_stopped_total",
+                  "Runs that ended early and are run again",
+                  Count(counts.stopped));
+  builder.Counter("geranium_step_runs_lost_total",
+                  "Runs given up since their agent was silent",
+                  Count(counts.lost));
+  builder.Gauge("geranium_step_open_jobs", "Step jobs not answered",
+                static_cast<double>(scheduler.open_jobs()));
+  builder.Gauge("geranium_step_accepting_workers", "Workers that take orders",
+                static_cast<double>(scheduler.accepting_workers(now)));
+  builder.Gauge("geranium_route_table_version", "The operator's version",
+                Count(node.table().version));
+  AddProcessMetrics(builder, links);
+  return builder.Take();
+}
+
+MetricFamilies StepAgentMetrics(const WorkerSession& session,
+                                const PeerLinks& links, TimePoint now) {
+  FamilyBuilder builder;
+  const SessionCounters& counts = session.counters();
+  builder.Counter("geranium_session_orders_total", "Orders from entries",
+                  Count(counts.orders));
+  builder.Counter("geranium_session_starts_total", "Starts sent to the worker",
+                  Count(counts.starts));
+  builder.Counter("geranium_session_stops_total", "Runs stopped",
+                  Count(counts.stops));
+  const std::string ends = "geranium_session_ends_total";
+  const std::string help = "Runs by how they ended";
+  builder.Counter(ends, help, Count(counts.done), {{"end", "done"}});
+  builder.Counter(ends, help, Count(counts.failed), {{"end", "failed"}});
+  builder.Counter("geranium_session_returned_total",
+                  "Orders returned without a start", Count(counts.bounced));
+  builder.Counter("geranium_session_in_doubt_total",
+                  "Starts whose answer was lost", Count(counts.in_doubt));
+  builder.Counter("geranium_session_stalled_total",
+                  "Runs stopped since they stood still", Count(counts.stalled));
+  builder.Counter("geranium_session_moved_total",
+                  "Runs stopped to be run at a faster worker",
+                  Count(counts.moved));
+  builder.Gauge("geranium_session_cores_running",
+                "Processors of what runs or may run", session.in_use().cpu);
+  builder.Gauge("geranium_session_fresh",
+                "Whether the worker takes orders: 0 or 1",
+                session.IsAccepting(now) ? 1 : 0);
+  AddProcessMetrics(builder, links);
+  return builder.Take();
+}
+
+StepAnswerTimes::StepAnswerTimes()
+    : family_(&prometheus::BuildHistogram()
+                   .Name("geranium_step_answer_seconds")
+                   .Help("Time from a step job to its answer in seconds")
+                   .Register(registry_)) {
+  const prometheus::Histogram::BucketBoundaries bounds{
+      0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 5, 10};
+  for (const auto& [answer, name] :
+       {std::pair(StepAnswer::kCompleted, "completed"),
+        std::pair(StepAnswer::kFailed, "failed"),
+        std::pair(StepAnswer::kRefused, "refused"),
+        std::pair(StepAnswer::kAbandoned, "abandoned")}) {
+    histograms_[answer] = &family_->Add({{"answer", name}}, bounds);
+  }
+}
+
+// Requests without a route or with an unsupported job are refusals too.
+void StepAnswerTimes::Observe(StepAnswer answer, Duration waited) {
+  const auto found = histograms_.find(answer);
+  prometheus::Histogram* histogram = found == histograms_.end()
+                                         ? histograms_[StepAnswer::kRefused]
+                                         : found->second;
+  histogram->Observe(static_cast<double>(waited.ms()) / 1000);
+}
+
+}  // namespace geranium
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -55,6 +55,7 @@
       kPerCent;
   settings.caller_address = ReadAddress(entry, "caller_address");
   settings.ready_address = ReadAddress(entry, "ready_address");
+  settings.metrics_address = ReadAddress(entry, "metrics_address");
   settings.grace = Duration(
       entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
   BOOST_OUTCOME_TRYV(entry.Finish());
@@ -64,7 +65,6 @@
   BOOST_OUTCOME_TRYV(shared);
   node.incarnation = Incarnation(DrawIncarnation());
   node.scheduler.incarnation = node.incarnation;
-  node.seed = DrawIncarnation();
   return settings;
 }
 
@@ -76,6 +76,7 @@
   node.name = agent.Required("id");
   settings.registration_address = ReadAddress(agent, "registration_address");
   settings.worker_address = ReadAddress(agent, "worker_address");
+  settings.metrics_address = ReadAddress(agent, "metrics_address");
   node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
   node.stop_limit = ReadMs(agent, "stop_limit_ms", node.stop_limit);
   settings.grace = Duration(
--- a/src/settings/step_settings.h
+++ b/src/settings/step_settings.h
@@ -19,6 +19,7 @@
   StepEntryOptions node;
   std::string caller_address;
   std::string ready_address;
+  std::string metrics_address;
   std::string store_address;
   std::vector<std::string> entry_addresses;
   Duration grace{6000};  ///< From SIGTERM to SIGKILL.
@@ -28,7 +29,8 @@
 struct StepAgentSettings {
   WorkerSessionOptions node;
   std::string registration_address;  ///< Where the worker announces itself.
-  std::string worker_address;        ///< Where the worker takes orders.
+  std::string metrics_address;
+  std::string worker_address;  ///< Where the worker takes orders.
   std::vector<std::string> entry_addresses;
   Duration grace{6000};
 };
--- a/standins/step_world.cc
+++ b/standins/step_world.cc
@@ -160,7 +160,6 @@
   options.id = EntryId("entry-" + std::to_string(index));
   options.incarnation = Incarnation(next_incarnation_++);
   options.link_address = "entry-" + std::to_string(index);
-  options.seed = random_.Bits();
   options.scheduler.incarnation = options.incarnation;
   options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
   entry.node = std::make_unique<StepEntryNode>(options);
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -44,6 +44,7 @@
                "entry.link_address=" + Link(entry), "--set",
                "entry.caller_address=" + Callers(entry), "--set",
                "entry.ready_address=" + Ready(entry), "--set",
+               "entry.metrics_address=" + EntryMetrics(entry), "--set",
                "peers.entries=" + Link(0) + "," + Link(1), "--set",
                "platform.store_address=" + Store()});
   }
@@ -54,6 +55,7 @@
         name, {Program("geranium-agent"), "--set", "agent.id=" + name, "--set",
                "agent.registration_address=" + Registration(worker), "--set",
                "agent.worker_address=" + Worker(worker), "--set",
+               "agent.metrics_address=" + AgentMetrics(worker), "--set",
                "peers.entries=" + Link(0) + "," + Link(1), "--set",
                "platform.store_address=" + Store()});
   }
@@ -134,6 +136,8 @@
   std::string Callers(int entry) const { return Address(20 + entry); }
   std::string Ready(int entry) const { return Address(30 + entry); }
   std::string Registration(int worker) const { return Address(40 + worker); }
+  std::string EntryMetrics(int entry) const { return Address(60 + entry); }
+  std::string AgentMetrics(int worker) const { return Address(70 + worker); }
   std::string Worker(int worker) const { return Address(50 + worker); }
 
  private:
@@ -162,6 +166,13 @@
     CHECK(response.body == R"({"state":"completed"})");
   }
   CHECK(site.Judge().at("starts") == 48);
+  const std::string entry =
+      site.Send(site.EntryMetrics(0), "GET", "/metrics", "").body;
+  CHECK_THAT(entry, Catch::Contains(
+                        "geranium_step_answers_total{answer=\"completed\"} 6"));
+  CHECK_THAT(entry, Catch::Contains("geranium_step_answer_seconds_count"));
+  CHECK_THAT(site.Send(site.AgentMetrics(0), "GET", "/metrics", "").body,
+             Catch::Contains("geranium_session_fresh 1"));
   site.CheckPromises();
 }
 
