--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -41,7 +41,7 @@
 }
 
 std::string Base64(const std::string& text) {
-  static const char kDigits[] =
+  static constexpr char kDigits[] =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (std::size_t i = 0; i < text.size(); i += 3) {
