--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kRetryAfterStart{1000};
+/// A handover that was not answered is asked for again after this long.
+constexpr Duration kAskAgain{300};
 /// After a start, agents need this long at most to link: a failed dial and its
 /// pause, and the worker's next announcement.
 constexpr Duration kLearnWorkers{3000};
@@ -124,13 +126,17 @@
 // have ended after the same time as those of a lost worker.
 void StepEntryNode::EndHandovers(TimePoint now) {
   std::vector<StepJobId> over;
-  for (const auto& [job, handover] : handovers_) {
+  for (auto& [job, handover] : handovers_) {
     if (handover.from == options_.incarnation) continue;
-    const TimePoint heard =
-        std::min(entry_heard_[handover.from], handover.asked);
-    const bool gone = !LinkOf(handover.from) ||
-                      now - entry_heard_[handover.from] > kLinkSilence;
-    if (gone && now - heard > StepScheduler::kLost) over.push_back(job);
+    const std::optional<LinkId> link = LinkOf(handover.from);
+    const Duration silence = now - entry_heard_[handover.from];
+    if (silence > StepScheduler::kLost) {
+      over.push_back(job);
+    } else if (link && now - handover.asked > kAskAgain) {
+      // The request or its answer was lost with an earlier link.
+      handover.asked = now;
+      Send(*link, JobHandoverRequest{job});
+    }
   }
   for (const StepJobId& job : over) {
     handovers_.erase(job);
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -694,13 +694,12 @@
   for (const AttemptId& id : orphans) {
     Stop(attempts_.at(id), "the entry is silent", now);
   }
+  std::set<Incarnation> with_runs;
+  for (const auto& [id, attempt] : attempts_) with_runs.insert(attempt.entry);
   std::erase_if(entries_, [&](const auto& item) {
-    const auto& [incarnation, entry] = item;
-    if (entry.linked || now - entry.proved < kKeepEnds) return false;
-    return std::none_of(attempts_.begin(), attempts_.end(),
-                        [&](const auto& attempt) {
-                          return attempt.second.entry == incarnation;
-                        });
+    const Entry& entry = item.second;
+    return !entry.linked && now - entry.proved >= kKeepEnds &&
+           !with_runs.contains(item.first);
   });
 }
 
--- a/standins/step_world.cc
+++ b/standins/step_world.cc
@@ -112,7 +112,7 @@
     self.labels = {"a",
                    "rack-" + std::to_string(i / options_.workers_per_rack)};
     self.capacity = options_.worker_size;
-    self.born_ms = static_cast<std::uint64_t>(1000 + i);
+    self.born_ms = std::uint64_t{1000} + static_cast<std::uint64_t>(i);
     agent->worker =
         std::make_unique<SizedWorker>(self, [this](const TaskName& name) {
           const auto found = truths_.find(name.value());
@@ -195,6 +195,7 @@
   const std::uint64_t life = agent.life;
   const bool reachable = agent.alive && entry.alive &&
                          now_ >= entry.frozen_until &&
+                         now_ >= agent.frozen_until &&
                          !Blocked(options_.entries + index, entry_index);
   if (!reachable) {
     At(now_ + kRedial, [this, index, entry_index, life] {
@@ -725,6 +726,17 @@
   At(now_ + down, [this, index] { StartEntry(index); });
 }
 
+void StepWorld::ResetEntryLinks(int index) {
+  std::vector<LinkId> links;
+  for (const auto& [link, wire] : wires_) {
+    const bool between_entries = wire.agent < 0;
+    if (between_entries && (wire.entry == index || wire.first_entry == index)) {
+      links.push_back(link);
+    }
+  }
+  for (const LinkId link : links) Break(link);
+}
+
 void StepWorld::FreezeEntry(int index, Duration span) {
   entries_[static_cast<std::size_t>(index)]->frozen_until = now_ + span;
 }
--- a/standins/step_world.h
+++ b/standins/step_world.h
@@ -92,6 +92,8 @@
   /// Cuts an agent from all entries; its worker runs on.
   void CutAgent(int worker, Duration span);
   void CutEntries(int one, int other, Duration span);
+  /// Breaks the entry's links to other entries; they are dialled again.
+  void ResetEntryLinks(int entry);
   /// Connections of the entry to its callers break.
   void DropCallers(int entry);
   void TakeOut(const std::string& data_centre, bool out);
--- a/tests/step_world_test.cc
+++ b/tests/step_world_test.cc
@@ -93,7 +93,11 @@
     for (int i = 0; i < 4; ++i) world.KillAgent(i, Duration(100 + 300 * i));
   });
   world.Run(TimePoint(9000));
-  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CHECK(world.Unanswered() == std::vector<std::string>());
+  for (const int job : jobs) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    CHECK(world.IsCompleted(job));
+  }
   CheckPromises(world);
 }
 
@@ -106,7 +110,11 @@
   for (int i = 0; i < 8; ++i) jobs.push_back(world.Submit(1, Long()));
   world.At(TimePoint(2100), [&] { world.KillEntry(1, Duration(700)); });
   world.Run(TimePoint(9000));
-  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CHECK(world.Unanswered() == std::vector<std::string>());
+  for (const int job : jobs) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    CHECK(world.IsCompleted(job));
+  }
   CheckPromises(world);
 }
 
@@ -128,6 +136,23 @@
   CheckPromises(world);
 }
 
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld a request for a job is lost between entries: it is "
+                 "asked for again") {
+  StepWorld world(WithoutLoad());
+  world.Run(TimePoint(1600));
+  const int job = world.Submit(0, Long());
+  world.At(TimePoint(1900), [&] {
+    world.SubmitAgain(job, 2);
+    world.ResetEntryLinks(0);
+  });
+  // Well before the first entry could count as lost by its silence.
+  world.At(TimePoint(1905), [&] { world.ResetEntryLinks(0); });
+  world.Run(TimePoint(5200));
+  CHECK(world.IsCompleted(job));
+  CheckPromises(world);
+}
+
 TEST_CASE_METHOD(StepWorldTest,
                  "StepWorld starts carried out seconds late: no task runs "
                  "twice at a time") {
@@ -153,7 +178,11 @@
     world.RestartWorker(2, Duration(3000));
   });
   world.Run(TimePoint(9000));
-  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CHECK(world.Unanswered() == std::vector<std::string>());
+  for (const int job : jobs) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    CHECK(world.IsCompleted(job));
+  }
   CheckPromises(world);
 }
 
@@ -171,7 +200,11 @@
     world.CutAgent(3, Duration(700));
   });
   world.Run(TimePoint(9000));
-  for (const int job : jobs) CHECK(world.IsCompleted(job));
+  CHECK(world.Unanswered() == std::vector<std::string>());
+  for (const int job : jobs) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    CHECK(world.IsCompleted(job));
+  }
   CheckPromises(world);
 }
 
