--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -122,8 +122,11 @@
   scheduler_.Release(handed.job, now);
 }
 
-// An entry that is silent cannot prove itself to its agents either, so its runs
-// have ended after the same time as those of a lost worker.
+// An entry that was killed, froze or lost its machine cannot prove itself to
+// its agents either, so its runs have ended after the same time as those of a
+// lost worker. One that is cut off from this entry alone still can: if its
+// caller has left it without its noticing, a task may run at both
+// (docs/PLATFORM.md).
 void StepEntryNode::EndHandovers(TimePoint now) {
   std::vector<StepJobId> over;
   for (auto& [job, handover] : handovers_) {
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -27,11 +27,10 @@
 constexpr Duration kWorkerSilence{400};
 /// Reports are sent at most this often.
 constexpr Duration kReportInterval{20};
-/// A run that makes no progress for this long, and for `kStallEstimates`
-/// hundredths of its estimate, stands still.
+/// A run whose share done has not risen for this long, and for `kStallShare`
+/// tenths of its estimate, stands still. A run that is ten times slow still
+/// rises by one per cent within a tenth of its estimate.
 constexpr Duration kStallLimit{300};
-/// One per cent of a run's share done takes a hundredth of its time; this many
-/// of them without a change is no slow run.
 constexpr std::int64_t kStallShare = 4;
 /// A run's speed is measured once it has done this many per cent ...
 constexpr int kMeasureShare = 50;
