--- a/src/contract/route_table.h
+++ b/src/contract/route_table.h
@@ -19,7 +19,6 @@
   std::string path_prefix;
   ServiceName service;
   int priority = 0;  ///< 0 is the most urgent.
-  Duration timeout;  ///< The longest that a caller waits for the answer.
   /// Response-time goal: slack times the longest chain of work, plus this.
   Duration target_latency;
   double slack = 1.0;
@@ -29,7 +28,7 @@
   template <class A>
   void Fields(A& a) {
     a(name)(host)(
-        path_prefix)(service)(priority)(timeout)(target_latency)(slack)(max_attempts)(needs_advice);
+        path_prefix)(service)(priority)(target_latency)(slack)(max_attempts)(needs_advice);
   }
 };
 
--- /dev/null
+++ b/src/entry/dispatcher_results.cc
@@ -0,0 +1,179 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "entry/dispatcher.h"
+
+namespace geranium {
+namespace {
+
+constexpr Duration kFirstRequeueWait{5};
+constexpr Duration kLongestRequeueWait{200};
+constexpr int kFreeBounces = 2;
+constexpr double kMeanWeight = 0.05;
+
+}  // namespace
+
+// The attempt is surely over without a start, so the task may go elsewhere.
+void Dispatcher::ReturnTask(const TaskRef& ref, TimePoint now) {
+  Job* job = FindMutableJob(ref.job);
+  if (job == nullptr) return;
+  Task& task = job->tasks[ref.task];
+  if (task.state == TaskState::kDone || !task.attempts.empty()) return;
+  if (task.in_doubt && !job->IsRepeatable()) return;
+  task.state = TaskState::kWaiting;
+  ++task.bounces;
+  if (task.bounces > kFreeBounces) {
+    RequeueLater(ref, now);
+    return;
+  }
+  Enqueue(*job, ref.task, true);
+  Pump(now);
+}
+
+void Dispatcher::RequeueLater(const TaskRef& ref, TimePoint now) {
+  const Task& task = jobs_.at(ref.job).tasks[ref.task];
+  const int doublings = std::min(task.bounces - kFreeBounces, 6);
+  const Duration wait =
+      std::min(kLongestRequeueWait, kFirstRequeueWait * (1 << doublings));
+  AddTimer(now + random_.Jitter(wait), TimerKind::kRequeue, ref);
+}
+
+void Dispatcher::TakeResult(const Attempt& attempt, const TaskResult& result,
+                            TimePoint now) {
+  Job& job = jobs_.at(attempt.task->job);
+  Task& task = job.tasks[attempt.task->task];
+  const TaskOutcome& outcome = result.outcome;
+  task.has_run = true;
+  const bool succeeded = outcome.status == TaskStatus::kSucceeded;
+  const bool is_workers_fault =
+      !succeeded && (result.unreachable || outcome.http_status >= 500);
+  WorkerView* worker = workers_.Find(attempt.worker);
+  if (worker != nullptr) {
+    workers_.CountOutcome(*worker, !is_workers_fault, now);
+  }
+  if (succeeded) {
+    run_times_[job.service.name].Add(now - attempt.granted_at);
+    const auto run_ms = static_cast<double>(result.run_time.ms());
+    double& mean =
+        mean_run_ms_.try_emplace(job.service.name, run_ms).first->second;
+    mean += kMeanWeight * (run_ms - mean);
+  }
+  if (task.state == TaskState::kDone) return;
+  if (is_workers_fault && job.IsRepeatable()) {
+    if (!task.attempts.empty()) return;
+    if (Repeat(job, attempt.task->task, now)) return;
+  }
+  FinishTask(job, task, outcome);
+  AnswerIfDone(job, now);
+}
+
+// An idempotent request may be tried again, within its deadline and the budget.
+bool Dispatcher::Repeat(Job& job, std::uint32_t index, TimePoint now) {
+  if (now >= job.deadline || !budget_.Spend()) return false;
+  ++counters_.retries;
+  job.tasks[index].state = TaskState::kWaiting;
+  Enqueue(job, index, true);
+  Pump(now);
+  return true;
+}
+
+void Dispatcher::MarkInDoubt(const AttemptId& id, const std::string& why,
+                             TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const Attempt attempt = found->second;
+  Job& job = jobs_.at(attempt.task->job);
+  Task& task = job.tasks[attempt.task->task];
+  task.in_doubt = true;
+  ++counters_.in_doubt;
+  NoteAttempt(EventKind::kInDoubt, now, id, why);
+  TakeBack(id);
+  if (job.IsRepeatable()) {
+    if (!task.attempts.empty()) return;
+    if (Repeat(job, attempt.task->task, now)) return;
+  }
+  Error error{ErrorCode::kInDoubt, "run", attempt.worker.value(), why,
+              Execution::kMayHaveRun};
+  FinishTask(job, task, TaskOutcome::Failure(std::move(error)));
+  AnswerIfDone(job, now);
+}
+
+void Dispatcher::FinishTask(Job& job, Task& task, TaskOutcome outcome) {
+  const bool not_run =
+      outcome.error && outcome.error->execution == Execution::kNotRun;
+  CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
+                 "task of " + ToString(job.id) + " reported as not run");
+  const bool failed = outcome.status == TaskStatus::kFailed;
+  task.outcome = std::move(outcome);
+  task.state = TaskState::kDone;
+  --job.open;
+  TakeBackAll(task);
+  if (!failed || job.kind != SubmissionKind::kJob || job.open == 0) return;
+  // A job with a failed task cannot become complete: what has not been granted
+  // is dropped, and what runs is waited for, so that its outcome is known.
+  Error reason{ErrorCode::kCancelled, "job", options_.name,
+               "another task of the job failed", Execution::kNotRun};
+  DropUnstarted(job, reason);
+}
+
+void Dispatcher::DropUnstarted(Job& job, const Error& reason) {
+  for (Task& task : job.tasks) {
+    if (task.state == TaskState::kWaiting) DropTask(job, task, reason);
+  }
+}
+
+void Dispatcher::DropTask(Job& job, Task& task, Error reason) {
+  // While the key is not this job's, another job may have run with it.
+  if (task.MayHaveRun() || !job.claimed) {
+    reason.execution = Execution::kMayHaveRun;
+  }
+  const bool not_run = reason.execution == Execution::kNotRun;
+  CheckInvariant(Invariant::kNotRunIsTrue, !not_run || !task.MayHaveRun(),
+                 "dropped task of " + ToString(job.id));
+  Unqueue(job, task);
+  task.outcome = TaskOutcome::Failure(std::move(reason));
+  task.state = TaskState::kDone;
+  --job.open;
+  TakeBackAll(task);
+}
+
+void Dispatcher::AnswerIfDone(Job& job, TimePoint now) {
+  if (job.open > 0) return;
+  JobAnswer answer;
+  answer.job = job.id;
+  answer.fingerprint = job.fingerprint;
+  answer.complete = true;
+  for (Task& task : job.tasks) {
+    const bool succeeded = task.outcome.status == TaskStatus::kSucceeded;
+    answer.complete = answer.complete && succeeded;
+    answer.outcomes.push_back(std::move(task.outcome));
+  }
+  CheckAnswer(job, answer);
+  ++(answer.complete ? counters_.answers_complete : counters_.answers_failed);
+  Note(EventKind::kAnswered, now, TaskRef{job.id, 0}, nullptr, "",
+       answer.complete ? "complete" : "failed");
+  const auto team = tasks_by_team_.find(job.team);
+  team->second -= job.tasks.size();
+  if (team->second == 0) tasks_by_team_.erase(team);
+  actions_.push_back(AnswerJob{std::move(answer)});
+  const JobId id = job.id;
+  jobs_.erase(id);
+}
+
+void Dispatcher::CheckAnswer(const Job& job, const JobAnswer& answer) const {
+  const bool is_whole = answer.outcomes.size() == job.tasks.size();
+  const bool has_reasons =
+      std::ranges::all_of(answer.outcomes, [](const TaskOutcome& outcome) {
+        const bool succeeded = outcome.status == TaskStatus::kSucceeded;
+        return succeeded != outcome.error.has_value();
+      });
+  const bool none_open = std::ranges::all_of(job.tasks, [](const Task& task) {
+    return task.state == TaskState::kDone && task.attempts.empty();
+  });
+  CheckInvariant(Invariant::kAnswerCompleteOrFailed,
+                 is_whole && has_reasons && none_open,
+                 "answer of " + ToString(job.id));
+}
+
+}  // namespace geranium
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -54,6 +54,9 @@
 /// or clock.
 class EntryNode {
  public:
+  /// How long the answer to a job without a key is kept.
+  static constexpr Duration kAnswerKept{60'000};
+
   /// A process on a link.
   struct Peer {
     std::optional<Hello> hello;
--- /dev/null
+++ b/src/entry/step_scheduler_workers.cc
@@ -0,0 +1,256 @@
+#include "entry/step_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace geranium {
+namespace {
+
+/// Added to a run number that a worker refused as too low.
+constexpr std::uint64_t kRunSkip = 8;
+
+}  // namespace
+
+void StepScheduler::On(LinkId link, const TaskEnd& end, TimePoint now) {
+  Send(link, TaskEndAck{end.attempt});
+  Resolve(end.attempt, end.end, end.reason, now);
+}
+
+void StepScheduler::Resolve(const AttemptId& id, AttemptEnd end,
+                            const std::string& reason, TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const Attempt attempt = found->second;
+  attempts_.erase(found);
+  const auto worker = workers_.find(attempt.agent);
+  if (worker != workers_.end()) worker->second.attempts.erase(id);
+  Job& job = jobs_.at(attempt.job);
+  StepTask& task = job.steps[attempt.step].tasks[attempt.task];
+  task.attempt.reset();
+  --job.attempts;
+  if (!job.answered) {
+    const Worker* where = worker == workers_.end() ? nullptr : &worker->second;
+    switch (end) {
+      case AttemptEnd::kDone:
+        TakeDone(job, attempt.step, task, now);
+        break;
+      case AttemptEnd::kFailed:
+        TakeFailed(job, attempt.step, task, where, now);
+        break;
+      case AttemptEnd::kSuperseded:
+        task.run += kRunSkip;
+        ++counters_.bounced;
+        ReturnTask(job, attempt.step, task);
+        break;
+      case AttemptEnd::kNotStarted:
+        ++counters_.bounced;
+        ReturnTask(job, attempt.step, task);
+        break;
+      case AttemptEnd::kStopped:
+        ++counters_.stopped;
+        if (where != nullptr && where->card &&
+            (reason == "stalled" || reason == "slow")) {
+          task.avoid = where->card->id;
+        }
+        ReturnTask(job, attempt.step, task);
+        break;
+    }
+    if (!job.answered && job.waiting > 0) {
+      waiting_.insert(PlaceOf(job, attempt.job));
+    }
+  }
+  ForgetIfDone(attempt.job);
+}
+
+void StepScheduler::TakeDone(Job& job, std::size_t step, StepTask& task,
+                             TimePoint now) {
+  task.state = TaskState::kDone;
+  Step& state = job.steps[step];
+  if (++state.done < state.tasks.size()) return;
+  Unblock(job);
+  const bool all = std::all_of(
+      job.steps.begin(), job.steps.end(),
+      [](const Step& each) { return each.done == each.tasks.size(); });
+  if (all) Answer(job, StepAnswer::kCompleted, Duration(0), "", now);
+}
+
+// A failure at a worker that fails most of what it starts says nothing of the
+// task.
+void StepScheduler::TakeFailed(Job& job, std::size_t step, StepTask& task,
+                               const Worker* worker, TimePoint now) {
+  const bool worker_at_fault = worker != nullptr && worker->report.failing;
+  if (worker != nullptr && worker->card) task.avoid = worker->card->id;
+  if (!worker_at_fault) ++task.failures;
+  if (task.failures >= job.route.max_attempts) {
+    Answer(job, StepAnswer::kFailed, Duration(0),
+           "a task failed in all its attempts", now);
+    return;
+  }
+  ReturnTask(job, step, task);
+}
+
+void StepScheduler::ReturnTask(Job& job, std::size_t step, StepTask& task) {
+  task.state = TaskState::kWaiting;
+  ++job.steps[step].waiting;
+  ++job.waiting;
+}
+
+void StepScheduler::Answer(Job& job, StepAnswer answer, Duration retry_after,
+                           const std::string& reason, TimePoint now) {
+  if (job.answered) return;
+  job.answered = true;
+  by_caller_.erase(job.caller);
+  switch (answer) {
+    case StepAnswer::kCompleted:
+      ++counters_.completed;
+      break;
+    case StepAnswer::kFailed:
+      ++counters_.failed;
+      break;
+    case StepAnswer::kAbandoned:
+      ++counters_.abandoned;
+      break;
+    default:
+      ++counters_.refused;
+  }
+  if (answer != StepAnswer::kCompleted) {
+    Log(LogLevel::kInfo, "job_not_completed",
+        {{"job", job.spec.id.value()},
+         {"route", job.route.name},
+         {"answer", std::to_string(static_cast<int>(answer))},
+         {"reason", reason},
+         {"age_ms", std::to_string((now - job.submitted).ms())},
+         {"waiting_tasks", std::to_string(job.waiting)},
+         {"open_attempts", std::to_string(job.attempts)}});
+  }
+  actions_.emplace_back(AnswerStepJob{job.caller, answer, retry_after, reason});
+  StopRuns(job);
+}
+
+void StepScheduler::StopRuns(Job& job) {
+  for (const Step& step : job.steps) {
+    for (const StepTask& task : step.tasks) {
+      if (!task.attempt) continue;
+      const Worker& worker = workers_.at(attempts_.at(*task.attempt).agent);
+      if (worker.link) Send(*worker.link, StopTask{*task.attempt});
+    }
+  }
+}
+
+void StepScheduler::ForgetIfDone(JobNumber number) {
+  const auto found = jobs_.find(number);
+  Job& job = found->second;
+  if (!job.answered) return;
+  waiting_.erase(PlaceOf(job, number));
+  if (job.attempts > 0) return;
+  if (job.given_up) given_up_.push_back(job.spec.id);
+  const auto by_id = by_id_.find(job.spec.id);
+  if (by_id != by_id_.end() && by_id->second == number) by_id_.erase(by_id);
+  jobs_.erase(found);
+}
+
+// ---- workers
+
+StepScheduler::Worker* StepScheduler::FindByLink(LinkId link) {
+  const auto found = by_link_.find(link);
+  return found == by_link_.end() ? nullptr : &workers_.at(found->second);
+}
+
+void StepScheduler::OnWorkerUp(LinkId link, Incarnation agent, TimePoint now) {
+  Worker& worker = workers_[agent];
+  if (worker.link) by_link_.erase(*worker.link);
+  worker.agent = agent;
+  worker.link = link;
+  worker.heard = now;
+  worker.cpu_sent = 0;
+  worker.report = WorkerReport{};
+  by_link_[link] = agent;
+}
+
+void StepScheduler::OnWorkerDown(LinkId link, TimePoint now) {
+  Worker* worker = FindByLink(link);
+  if (worker == nullptr) return;
+  worker->link.reset();
+  by_link_.erase(link);
+  Log(LogLevel::kWarning, "worker_link_down",
+      {{"worker", worker->card ? worker->card->id.value() : ""},
+       {"open_attempts", std::to_string(worker->attempts.size())},
+       {"heard_ms_ago", std::to_string((now - worker->heard).ms())}});
+}
+
+void StepScheduler::OnHeard(LinkId link, TimePoint now) {
+  Worker* worker = FindByLink(link);
+  if (worker != nullptr) worker->heard = now;
+}
+
+// A settled agent has stopped all that its predecessor had started.
+void StepScheduler::On(LinkId link, const WorkerCard& card, TimePoint now) {
+  Worker* worker = FindByLink(link);
+  if (worker == nullptr) return;
+  worker->card = card;
+  if (!card.settled) return;
+  for (auto& [agent, other] : workers_) {
+    const bool replaced = agent != worker->agent && other.card &&
+                          other.card->id == card.id && !other.attempts.empty();
+    if (replaced) LoseWorker(other, "its agent was replaced", now);
+  }
+}
+
+void StepScheduler::On(LinkId link, const WorkerReport& report,
+                       TimePoint /*now*/) {
+  Worker* worker = FindByLink(link);
+  if (worker != nullptr) worker->report = report;
+}
+
+void StepScheduler::On(LinkId link, const AttemptList& list, TimePoint now) {
+  Worker* worker = FindByLink(link);
+  if (worker == nullptr) return;
+  const std::set<AttemptId> held(list.attempts.begin(), list.attempts.end());
+  const std::set<AttemptId> ours = worker->attempts;
+  for (const AttemptId& id : ours) {
+    if (held.contains(id)) {
+      const Job& job = jobs_.at(attempts_.at(id).job);
+      if (job.answered) Send(link, StopTask{id});
+      continue;
+    }
+    Resolve(id, AttemptEnd::kNotStarted, "lost with the link", now);
+  }
+}
+
+void StepScheduler::LoseWorker(Worker& worker, const std::string& why,
+                               TimePoint now) {
+  const std::set<AttemptId> attempts = worker.attempts;
+  if (!attempts.empty()) {
+    Log(LogLevel::kWarning, "worker_lost",
+        {{"worker", worker.card ? worker.card->id.value() : ""},
+         {"why", why},
+         {"attempts", std::to_string(attempts.size())},
+         {"heard_ms_ago", std::to_string((now - worker.heard).ms())}});
+  }
+  for (const AttemptId& id : attempts) {
+    ++counters_.lost;
+    Resolve(id, AttemptEnd::kStopped, why, now);
+  }
+}
+
+void StepScheduler::LoseSilentWorkers(TimePoint now) {
+  std::vector<Incarnation> gone;
+  for (auto& [agent, worker] : workers_) {
+    if (now - worker.heard <= kLost) continue;
+    LoseWorker(worker, "it is silent", now);
+    if (!worker.link) gone.push_back(agent);
+  }
+  for (const Incarnation agent : gone) workers_.erase(agent);
+}
+
+std::size_t StepScheduler::accepting_workers(TimePoint now) const {
+  return static_cast<std::size_t>(
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& item) {
+        const Worker& worker = item.second;
+        return worker.link && worker.report.accepting &&
+               now - worker.heard <= kSilent;
+      }));
+}
+
+}  // namespace geranium
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -78,7 +78,6 @@
   settings.worker_address = ReadAddress(agent, "worker_address");
   settings.metrics_address = ReadAddress(agent, "metrics_address");
   node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
-  node.stop_limit = ReadMs(agent, "stop_limit_ms", node.stop_limit);
   settings.grace = Duration(
       agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
   BOOST_OUTCOME_TRYV(agent.Finish());
--- a/src/worker/agent_node.h
+++ b/src/worker/agent_node.h
@@ -146,7 +146,12 @@
   void Send(LinkId link, Message message);
   /// Sends to the entry if it is linked; fills in the load that it is told.
   template <class Typed>
-  void SendToEntry(Incarnation entry, Typed message, TimePoint now);
+  void SendToEntry(Incarnation entry, Typed message, TimePoint now) {
+    const auto found = entry_links_.find(entry);
+    if (found == entry_links_.end()) return;
+    message.load = Load(found->second, now);
+    Send(found->second, std::move(message));
+  }
   bool SlotsOnlyForUrgent(TimePoint now) const;
   int Reserve(TimePoint now) const;
   int FreeSlots() const;
--- /dev/null
+++ b/src/worker/agent_node_offers.cc
@@ -0,0 +1,277 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "worker/agent_node.h"
+
+namespace geranium {
+namespace {
+
+constexpr Duration kUrgentMemory{10'000};
+constexpr Duration kLeavingLimit{3000};
+constexpr int kLeastSlotsForReserve = 4;
+
+}  // namespace
+
+// An attempt that is settled stays so: one that was started is passed over,
+// and of one that was dropped the entry is told again. Of one that is too old
+// to be remembered nothing can be said.
+bool AgentNode::AnswerSettled(const AttemptId& id, TimePoint now) {
+  const auto fate = memory_.Find(id);
+  if (fate == AttemptFate::kDropped) {
+    SayNotStarted(
+        id, Reason(ErrorCode::kUnavailable, "offer", "dropped before"), now);
+    return true;
+  }
+  return fate.has_value() || memory_.MayBeForgotten(id);
+}
+
+std::optional<Error> AgentNode::RefuseOffer(const Offer& offer,
+                                            TimePoint now) const {
+  if (leaving()) {
+    return Reason(ErrorCode::kUnavailable, "offer", "the worker is leaving");
+  }
+  if (monitor_.health() == BackendHealth::kQuiet) {
+    return Reason(ErrorCode::kUnavailable, "offer",
+                  "the backend server is quiet");
+  }
+  if (auto closed = gate_.ClosedBecause(now)) return closed;
+  if (gate_.configuration().FindService(offer.service) == nullptr) {
+    return Reason(ErrorCode::kUnknownService, "offer",
+                  "service " + offer.service.value() + " is not in force");
+  }
+  if (static_cast<int>(queue_.size()) >= options_.queue_limit) {
+    return Reason(ErrorCode::kOverloaded, "offer", "the queue is full");
+  }
+  if (!options_.profile.capacity.Holds(offer.size)) {
+    return Reason(ErrorCode::kFitsNoWorker, "offer",
+                  "the task is larger than the worker");
+  }
+  return std::nullopt;
+}
+
+void AgentNode::On(LinkId link, const Offer& offer, TimePoint now) {
+  ++counters_.offers;
+  ++peers_[link].offers_seen;
+  if (attempts_.contains(offer.attempt) || AnswerSettled(offer.attempt, now)) {
+    ++counters_.duplicates;
+    return;
+  }
+  if (auto reason = RefuseOffer(offer, now)) {
+    memory_.Settle(offer.attempt, AttemptFate::kDropped, now);
+    SayNotStarted(offer.attempt, *reason, now);
+    return;
+  }
+  Attempt& attempt = attempts_[offer.attempt];
+  attempt.offer = offer;
+  attempt.deadline = now + offer.time_left;
+  queue_.Add(offer.attempt, offer.task_class, attempt.deadline);
+  if (offer.task_class == TaskClass::kUrgent) last_urgent_ = now;
+  Note(EventKind::kOfferReceived, now, &attempt, "");
+  ServeQueue(now);
+  if (attempt.state == State::kQueued) Acknowledge(attempt, now);
+}
+
+void AgentNode::Acknowledge(const Attempt& attempt, TimePoint now) {
+  SendToEntry(attempt.offer.attempt.entry,
+              OfferAck{attempt.offer.attempt, ExpectedWait(), {}}, now);
+}
+
+Duration AgentNode::ExpectedWait() const {
+  const Duration usual = run_times_.P99(Duration(100)) / 2;
+  const auto ahead = static_cast<std::int64_t>(queue_.size());
+  return usual * ahead / std::max(1, options_.profile.slots);
+}
+
+int AgentNode::FreeSlots() const {
+  const int allowed = monitor_.AllowedCalls(options_.profile.slots);
+  return std::max(0, allowed - holding_ - running_);
+}
+
+// While urgent work comes in, the last slots are kept for it: a slot that
+// frees on one worker is rarer than the wait that urgent work can bear.
+bool AgentNode::SlotsOnlyForUrgent(TimePoint now) const {
+  return FreeSlots() <= Reserve(now);
+}
+
+int AgentNode::Reserve(TimePoint now) const {
+  if (options_.profile.slots < kLeastSlotsForReserve) return 0;
+  if (now - last_urgent_ > kUrgentMemory) return 0;
+  return options_.urgent_reserve;
+}
+
+void AgentNode::ServeQueue(TimePoint now) {
+  while (ServeNext(now)) {
+  }
+}
+
+bool AgentNode::ServeNext(TimePoint now) {
+  if (queue_.size() == 0 || FreeSlots() == 0) return false;
+  if (gate_.ClosedBecause(now)) return false;
+  const auto id = queue_.Pop(SlotsOnlyForUrgent(now));
+  if (!id) return false;
+  Attempt& attempt = attempts_.at(*id);
+  Resources left = options_.profile.capacity;
+  left -= in_use_;
+  if (!left.Holds(attempt.offer.size)) {
+    queue_.Add(*id, attempt.offer.task_class, attempt.deadline);
+    return false;
+  }
+  if (attempt.offer.assignment) {
+    Start(attempt, now);
+  } else {
+    HoldSlot(attempt, now);
+  }
+  return true;
+}
+
+void AgentNode::HoldSlot(Attempt& attempt, TimePoint now) {
+  attempt.state = State::kReady;
+  attempt.ready_since = now;
+  ++holding_;
+  in_use_ += attempt.offer.size;
+  ++counters_.readies;
+  Note(EventKind::kReadySent, now, &attempt, "");
+  SendToEntry(attempt.offer.attempt.entry, Ready{attempt.offer.attempt, {}},
+              now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Grant& grant, TimePoint now) {
+  const auto found = attempts_.find(grant.attempt);
+  if (found == attempts_.end()) {
+    if (AnswerSettled(grant.attempt, now)) {
+      ++counters_.duplicates;
+      return;
+    }
+    ++counters_.late_grants;
+    memory_.Settle(grant.attempt, AttemptFate::kDropped, now);
+    SayNotStarted(grant.attempt,
+                  Reason(ErrorCode::kUnavailable, "grant",
+                         "the grant came after its time to live"),
+                  now);
+    return;
+  }
+  Attempt& attempt = found->second;
+  if (attempt.state != State::kReady) {
+    ++counters_.duplicates;
+    return;
+  }
+  if (now - attempt.ready_since > options_.grant_ttl) {
+    ++counters_.late_grants;
+    DropUnstarted(grant.attempt,
+                  Reason(ErrorCode::kUnavailable, "grant",
+                         "the grant came after its time to live"),
+                  now);
+    return;
+  }
+  if (const auto closed = gate_.ClosedBecause(now)) {
+    DropUnstarted(grant.attempt, *closed, now);
+    return;
+  }
+  attempt.offer.assignment = grant.assignment;
+  Note(EventKind::kGrantReceived, now, &attempt, "");
+  --holding_;
+  in_use_ -= attempt.offer.size;
+  Start(attempt, now);
+}
+
+void AgentNode::CheckStart(TimePoint now) const {
+  const bool is_in = gate_.configuration().IsIn(options_.profile.data_centre);
+  CheckInvariant(Invariant::kNoStartInDataCentreOut,
+                 is_in && gate_.IsFresh(now),
+                 "start at " + options_.profile.id.value());
+  const bool left = leaving_since_ && now - *leaving_since_ > kLeavingLimit;
+  CheckInvariant(Invariant::kLeavingGetsNoWork, !left,
+                 "start at " + options_.profile.id.value());
+}
+
+void AgentNode::Start(Attempt& attempt, TimePoint now) {
+  CheckStart(now);
+  const AttemptId id = attempt.offer.attempt;
+  const bool is_first = memory_.Settle(id, AttemptFate::kStarted, now);
+  CheckInvariant(Invariant::kStartsAtMostOnce, is_first,
+                 "attempt " + ToString(id) + " started again");
+  attempt.state = State::kRunning;
+  attempt.started = now;
+  ++running_;
+  in_use_ += attempt.offer.size;
+  ++counters_.starts;
+  const ServiceSpec* spec =
+      gate_.configuration().FindService(attempt.offer.service);
+  StartCall call;
+  call.attempt = id;
+  call.job = attempt.offer.assignment->job;
+  call.task = attempt.offer.assignment->task;
+  call.path = spec == nullptr ? "/" : spec->path;
+  call.timeout = spec == nullptr ? ServiceSpec().timeout : spec->timeout;
+  call.payload = std::exchange(attempt.offer.assignment->payload, {});
+  call.repeatable = attempt.offer.repeatable;
+  monitor_.CallStarted(id, attempt.offer.service, call.timeout, now);
+  Note(EventKind::kCallStarted, now, &attempt, attempt.offer.service.value());
+  actions_.push_back(std::move(call));
+}
+
+// ---- giving attempts back
+
+void AgentNode::TakeOut(const Attempt& attempt) {
+  if (attempt.state == State::kQueued) {
+    queue_.Remove(attempt.offer.attempt, attempt.offer.task_class,
+                  attempt.deadline);
+  }
+  if (attempt.state == State::kReady) {
+    --holding_;
+    in_use_ -= attempt.offer.size;
+  }
+}
+
+void AgentNode::DropUnstarted(const AttemptId& id, Error reason,
+                              TimePoint now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  TakeOut(found->second);
+  Note(EventKind::kNotStarted, now, &found->second, reason.message);
+  attempts_.erase(found);
+  memory_.Settle(id, AttemptFate::kDropped, now);
+  SayNotStarted(id, std::move(reason), now);
+}
+
+void AgentNode::SayNotStarted(const AttemptId& id, Error reason,
+                              TimePoint now) {
+  ++counters_.not_started;
+  SendToEntry(id.entry, NotStarted{id, std::move(reason), {}}, now);
+}
+
+void AgentNode::DropAllUnstarted(const Error& reason, TimePoint now) {
+  std::vector<AttemptId> unstarted;
+  for (const auto& [id, attempt] : attempts_) {
+    const bool waits =
+        attempt.state == State::kQueued || attempt.state == State::kReady;
+    if (waits) unstarted.push_back(id);
+  }
+  for (const AttemptId& id : unstarted) DropUnstarted(id, reason, now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Withdraw& withdraw, TimePoint now) {
+  const auto found = attempts_.find(withdraw.attempt);
+  if (found == attempts_.end()) return;
+  const State state = found->second.state;
+  if (state != State::kQueued && state != State::kReady) return;
+  TakeOut(found->second);
+  attempts_.erase(found);
+  ServeQueue(now);
+}
+
+void AgentNode::On(LinkId /*link*/, const Cancel& cancel, TimePoint now) {
+  const auto found = attempts_.find(cancel.attempt);
+  if (found == attempts_.end()) return;
+  if (found->second.state == State::kRunning) {
+    actions_.push_back(AbortCall{cancel.attempt});
+    return;
+  }
+  if (found->second.state == State::kDone) return;
+  DropUnstarted(cancel.attempt,
+                Reason(ErrorCode::kCancelled, "cancel", "cancelled"), now);
+  ServeQueue(now);
+}
+
+}  // namespace geranium
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -24,7 +24,6 @@
   Incarnation incarnation;
   std::uint64_t first_fence = 1;
   Duration longest_lease{1000};
-  Duration stop_limit{50};  ///< The longest that a stop takes.
 };
 
 /// What the session's decisions ask of the world.
@@ -61,6 +60,13 @@
   /// The lease that is asked for; renewed several times within it.
   static constexpr Duration kLease{650};
 
+  /// A stop whose answer did not come is sent again after this long; an answer
+  /// from the same machine takes a few milliseconds.
+  static constexpr Duration kStopRetry{60};
+  /// Without an answer for this long the lease is not renewed, so that it is
+  /// known when everything there has ended.
+  static constexpr Duration kWorkerSilence{400};
+
   explicit WorkerSession(WorkerSessionOptions options);
 
   void KnowEntries(const std::vector<std::string>& addresses) {
--- /dev/null
+++ b/src/worker/worker_session_holds.cc
@@ -0,0 +1,288 @@
+#include <algorithm>
+#include <utility>
+
+#include "worker/worker_session.h"
+
+namespace geranium {
+namespace {
+
+/// Wait of a hold while something runs, so that progress is seen in time.
+constexpr Duration kBusyWait{80};
+/// Wait of a hold after one was lost: while answers get lost, a short wait
+/// keeps the time short in which ends go unseen.
+constexpr Duration kLossyWait{20};
+/// How long after a lost answer more losses are expected.
+constexpr Duration kLossyPeriod{3000};
+/// Wait while nothing runs: well within the lease of the next start.
+constexpr Duration kIdleWait{300};
+/// Wait while an order is in doubt.
+constexpr Duration kDoubtWait{20};
+/// Pause after a hold that failed.
+constexpr Duration kHoldRetry{30};
+/// A run whose share done has not risen for this long, and for `kStallShare`
+/// tenths of its estimate, stands still. A run that is ten times slow still
+/// rises by one per cent within a tenth of its estimate.
+constexpr Duration kStallLimit{300};
+constexpr std::int64_t kStallShare = 4;
+/// A run's speed is measured once it has done this many per cent ...
+constexpr int kMeasureShare = 50;
+/// ... or has taken this many times its estimate.
+constexpr std::int64_t kOverdueEstimates = 2;
+/// From this slowness on, runs are returned to be started elsewhere if what is
+/// left of them takes longer than `kMoveGain` per cent of their estimate.
+constexpr double kMoveSlowness = 2.5;
+constexpr std::int64_t kMoveGain = 150;
+/// A lease may last longer by this share (in per cent) on the server's clock.
+constexpr std::int64_t kClockSlack = 2;
+constexpr Duration kLeaseMargin{30};
+
+}  // namespace
+
+void WorkerSession::Hold(TimePoint now) {
+  if (!worker_ || waiting_hold_ != 0 || now < next_hold_) return;
+  HoldRuns hold;
+  if (now - answered_ < kWorkerSilence) {
+    hold.lease_until_ms = LeaseUntil(now);
+    lease_end_ = std::max(lease_end_, now + kLease);
+  }
+  hold.wait = kIdleWait;
+  for (const auto& [id, attempt] : attempts_) {
+    const bool unclear =
+        attempt.state == State::kInDoubt || attempt.state == State::kStopping;
+    if (unclear) hold.wait = kDoubtWait;
+    if (attempt.state != State::kQueued) {
+      hold.wait = std::min(hold.wait, kBusyWait);
+    }
+  }
+  if (now - lost_answer_ < kLossyPeriod) {
+    hold.wait = std::min(hold.wait, kLossyWait);
+  }
+  if (!settled_) hold.wait = Duration(0);
+  waiting_hold_ = next_hold_number_;
+  SendHold(std::move(hold), now);
+}
+
+// The waiting hold may be answered only when it has waited; what is being
+// settled is asked for at once.
+void WorkerSession::Look(TimePoint now) {
+  SendHold(HoldRuns{}, now);
+  open_holds_.rbegin()->second.is_look = true;
+}
+
+void WorkerSession::SendHold(HoldRuns hold, TimePoint now) {
+  hold.number = next_hold_number_++;
+  hold.worker = worker_->id;
+  hold.fence = fence_;
+  hold.acknowledged_end = acknowledged_end_;
+  open_holds_[hold.number] = OpenHold{now, fence_, false};
+  actions_.emplace_back(std::move(hold));
+}
+
+void WorkerSession::OnHoldEnded(std::uint64_t number,
+                                const HoldOutcome& outcome, TimePoint now) {
+  const auto found = open_holds_.find(number);
+  if (found == open_holds_.end()) return;
+  const OpenHold hold = found->second;
+  open_holds_.erase(found);
+  if (!hold.is_look) waiting_hold_ = 0;
+  if (outcome.reply != OrderReply::kAccepted) {
+    const bool lost = outcome.reply == OrderReply::kNoAnswer;
+    if (lost) lost_answer_ = now;
+    next_hold_ =
+        lost && now - answered_ < kWorkerSilence ? now : now + kHoldRetry;
+    if (outcome.reply == OrderReply::kFenced && hold.fence == fence_) {
+      RaiseFence();
+    }
+    return;
+  }
+  answered_ = now;
+  if (!hold.is_look) next_hold_ = now;
+  if (outcome.clock_ms) clock_offset_ms_ = *outcome.clock_ms - now.ms();
+  if (silent_) {
+    silent_ = false;
+    Log(LogLevel::kInfo, "worker_answers_again", {});
+  }
+  NoteLife(outcome.born_ms, now);
+  if (hold.fence != fence_) return;  // Says nothing of the present token.
+  TakeEnds(outcome, now);
+  Compare(outcome, hold.sent, now);
+  StopStrangers(outcome, now);
+  MeasureRuns(now);
+  StopStalled(now);
+  StartQueued(now);
+}
+
+void WorkerSession::TakeEnds(const HoldOutcome& outcome, TimePoint now) {
+  for (const EndedRun& ended : outcome.ended) {
+    if (ended.number <= acknowledged_end_) continue;
+    acknowledged_end_ = ended.number;
+    strangers_.erase(ended.run);
+    Attempt* attempt = FindByRun(ended.run);
+    if (attempt == nullptr) continue;
+    const AttemptId id = attempt->order.attempt;
+    const bool stalled = attempt->stop_reason == "stalled";
+    switch (ended.end) {
+      case RunEnd::kDone:
+        if (!attempt->measured) {
+          record_.CountRun(now - attempt->began, attempt->order.estimate);
+        }
+        record_.CountOutcome(false);
+        ++counters_.done;
+        End(id, AttemptEnd::kDone, "", now);
+        break;
+      case RunEnd::kFailed:
+        record_.CountOutcome(true);
+        ++counters_.failed;
+        End(id, AttemptEnd::kFailed, "the run failed", now);
+        break;
+      case RunEnd::kStopped:
+        if (stalled) record_.CountOutcome(true);
+        End(id, AttemptEnd::kStopped,
+            attempt->stop_reason.empty() ? "lapsed" : attempt->stop_reason,
+            now);
+        break;
+    }
+  }
+}
+
+void WorkerSession::Compare(const HoldOutcome& outcome, TimePoint sent_at,
+                            TimePoint now) {
+  std::map<TaskRun, const ListedRun*> listed;
+  for (const ListedRun& run : outcome.running) listed[run.run] = &run;
+  std::vector<AttemptId> ids;
+  for (const auto& [id, attempt] : attempts_) ids.push_back(id);
+  for (const AttemptId& id : ids) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    const auto entry = listed.find(found->second.order.run);
+    CompareAttempt(found->second,
+                   entry == listed.end() ? nullptr : entry->second, sent_at,
+                   now);
+  }
+}
+
+// A listing tells of an order only if it was asked for after the order's end
+// was known, since answers on different connections overtake each other.
+void WorkerSession::CompareAttempt(Attempt& attempt, const ListedRun* listed,
+                                   TimePoint sent_at, TimePoint now) {
+  if (attempt.state == State::kQueued) return;
+  if (listed != nullptr) {
+    attempt.has_run = true;
+    if (listed->percent > attempt.percent) {
+      attempt.percent = listed->percent;
+      attempt.progressed = now;
+    }
+    if (attempt.state == State::kStarting || attempt.state == State::kInDoubt) {
+      attempt.state = State::kRunning;
+      attempt.since = now;
+    } else if (attempt.state == State::kStopping &&
+               now - attempt.stop_sent > kStopRetry) {
+      SendStop(attempt, now);
+    }
+    return;
+  }
+  const bool later = sent_at > attempt.since;
+  if (attempt.state == State::kInDoubt && later) {
+    Stop(attempt, "in doubt", now);
+  } else if (attempt.state == State::kRunning && later) {
+    End(attempt.order.attempt, AttemptEnd::kStopped, "no longer listed", now);
+  } else if (attempt.state == State::kStopping && attempt.stop_accepted &&
+             sent_at > *attempt.stop_accepted) {
+    End(attempt.order.attempt,
+        attempt.has_run ? AttemptEnd::kStopped : AttemptEnd::kNotStarted,
+        attempt.stop_reason, now);
+  }
+}
+
+// Runs that an earlier agent started, or orders that were carried out after
+// they had been given up. Their size is not known, so nothing is started
+// beside them.
+void WorkerSession::StopStrangers(const HoldOutcome& outcome, TimePoint now) {
+  std::set<TaskRun> seen;
+  for (const ListedRun& listed : outcome.running) {
+    if (by_run_.contains(listed.run)) continue;
+    seen.insert(listed.run);
+    const auto [found, is_new] =
+        strangers_.try_emplace(listed.run, TimePoint::Never());
+    if (is_new) {
+      Log(LogLevel::kWarning, "stopping_unknown_run",
+          {{"task", listed.run.task.value()},
+           {"run", std::to_string(listed.run.run)}});
+    }
+    if (now - found->second <= kStopRetry) continue;
+    found->second = now;
+    actions_.emplace_back(StopRun{worker_->id, listed.run, fence_});
+  }
+  std::erase_if(strangers_, [&](const auto& stranger) {
+    return !seen.contains(stranger.first);
+  });
+  const bool settled = strangers_.empty();
+  if (settled != settled_) report_due_ = true;
+  settled_ = settled;
+}
+
+void WorkerSession::ExpireLease(TimePoint now) {
+  if (!worker_ || lease_end_ == TimePoint::Never()) return;
+  if (now - answered_ < kWorkerSilence) return;
+  if (!silent_) {
+    silent_ = true;
+    report_due_ = true;
+    Log(LogLevel::kWarning, "worker_silent",
+        {{"worker", worker_->id.value()},
+         {"silent_ms", std::to_string((now - answered_).ms())}});
+    ReturnQueued("the worker is silent", now);
+  }
+  const Duration slack = kLease * kClockSlack / 100 + kLeaseMargin;
+  if (now < lease_end_ + slack) return;
+  // Everything there has lapsed. A run that shows up later all the same is
+  // stopped as a stranger, before anything else is started.
+  settled_ = false;
+  std::vector<AttemptId> ids;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kQueued) ids.push_back(id);
+  }
+  for (const AttemptId& id : ids) {
+    End(id, AttemptEnd::kStopped, "the worker is silent", now);
+  }
+}
+
+// Shares done tell the speed of the worker before long runs end. They lag at
+// the beginning of a run, so only later ones count.
+void WorkerSession::MeasureRuns(TimePoint now) {
+  std::vector<AttemptId> too_slow;
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kRunning) continue;
+    const Duration ran = now - attempt.began;
+    const Duration estimate = attempt.order.estimate;
+    const Duration whole = ran * 100 / std::max(1, attempt.percent);
+    const bool overdue = ran > estimate * kOverdueEstimates;
+    if (!attempt.measured && (attempt.percent >= kMeasureShare || overdue)) {
+      attempt.measured = true;
+      record_.CountRun(whole, estimate);
+    }
+    if (record_.slowness() > kMoveSlowness && ran > estimate &&
+        whole - ran > estimate * kMoveGain / 100) {
+      too_slow.push_back(id);
+    }
+  }
+  for (const AttemptId& id : too_slow) {
+    ++counters_.moved;
+    Stop(attempts_.at(id), "slow", now);
+  }
+}
+
+void WorkerSession::StopStalled(TimePoint now) {
+  std::vector<AttemptId> stalled;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state != State::kRunning) continue;
+    const Duration limit =
+        std::max(kStallLimit, attempt.order.estimate * kStallShare / 10);
+    if (now - attempt.progressed > limit) stalled.push_back(id);
+  }
+  for (const AttemptId& id : stalled) {
+    ++counters_.stalled;
+    Stop(attempts_.at(id), "stalled", now);
+  }
+}
+
+}  // namespace geranium
--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 
 #include "base/clock.h"
+#include "platform_store.h"
 #include "runtime/answers.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
@@ -32,107 +33,6 @@
 /// Orders that get no answer are carried out this much later.
 constexpr auto kLate = std::chrono::milliseconds(2500);
 
-std::string BigEndian(std::uint64_t value, int bytes) {
-  std::string text;
-  for (int i = bytes - 1; i >= 0; --i) {
-    text.push_back(static_cast<char>(value >> (8 * i) & 0xffU));
-  }
-  return text;
-}
-
-std::string Base64(const std::string& text) {
-  static constexpr char kDigits[] =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); i += 3) {
-    std::uint32_t bits = 0;
-    for (std::size_t j = 0; j < 3; ++j) {
-      bits =
-          bits << 8U |
-          (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
-    }
-    for (std::size_t j = 0; j < 4; ++j) {
-      out.push_back(i + j > text.size() ? '='
-                                        : kDigits[bits >> (18 - 6 * j) & 63U]);
-    }
-  }
-  return out;
-}
-
-/// The operator's log: one partition of keyed records.
-class Store {
- public:
-  explicit Store(boost::asio::io_context& io) : io_(io) {}
-
-  void Put(const std::string& key, const std::string& value) {
-    records_.emplace_back(key, value);
-  }
-  void SetUp(bool up) { up_ = up; }
-
-  void Serve(const ExchangePtr& exchange) {
-    const HttpRequest& request = exchange->request();
-    if (!up_) {
-      exchange->Reply(JsonResponse(503, Json::object()));
-    } else if (request.path == "/-/log-newest") {
-      exchange->Reply(Newest());
-    } else if (request.path == "/-/log-read") {
-      const auto wait =
-          std::chrono::milliseconds(std::stoll(request.Query("wait-ms", "0")));
-      Read(exchange, std::stoull(request.Query("from", "0")),
-           std::chrono::steady_clock::now() + wait);
-    } else {
-      exchange->Reply(JsonResponse(404, Json::object()));
-    }
-  }
-
- private:
-  HttpResponse Newest() const {
-    std::map<std::string, std::size_t> newest;
-    for (std::size_t i = 0; i < records_.size(); ++i) {
-      newest[records_[i].first] = i;
-    }
-    Json items = Json::array();
-    for (const auto& [key, offset] : newest) {
-      const std::string& value = records_[offset].second;
-      if (value.empty()) continue;
-      items.push_back(
-          {{"key", key}, {"value", Base64(value)}, {"offset", offset}});
-    }
-    return JsonResponse(200, {{"items", items},
-                              {"has-more", false},
-                              {"end-offset", records_.size()}});
-  }
-
-  void Read(const ExchangePtr& exchange, std::size_t from,
-            std::chrono::steady_clock::time_point until) {
-    if (!up_) {
-      exchange->Reply(JsonResponse(503, Json::object()));
-      return;
-    }
-    if (records_.size() <= from && std::chrono::steady_clock::now() < until) {
-      auto timer = std::make_shared<Timer>(io_, kStep);
-      timer->async_wait(
-          [this, timer, exchange, from, until](const auto& error) {
-            if (!error) Read(exchange, from, until);
-          });
-      return;
-    }
-    HttpResponse response;
-    response.content_type = "application/octet-stream";
-    response.body = BigEndian(records_.size(), 8) + BigEndian(0, 8);
-    for (std::size_t i = from; i < records_.size(); ++i) {
-      const auto& [key, value] = records_[i];
-      const std::string content = static_cast<char>(key.size()) + key + value;
-      response.body += BigEndian(content.size(), 4) + content;
-    }
-    exchange->Reply(std::move(response));
-  }
-
-  boost::asio::io_context& io_;
-  std::deque<std::pair<std::string, std::string>> records_;
-  bool up_ = true;
-};
-
 class Site {
  public:
   Site(boost::asio::io_context& io, const std::string& store_address,
@@ -365,7 +265,7 @@
   boost::asio::io_context& io_;
   SystemClock clock_;
   HttpClient client_;
-  Store store_;
+  PlatformStore store_;
   HttpServer store_server_;
   std::vector<std::unique_ptr<Place>> places_;
   std::map<TaskName, TaskTruth> truths_;
--- a/standins/step_world.h
+++ b/standins/step_world.h
@@ -146,6 +146,7 @@
   void CheckWorkers();
   void NoteStart(const TaskRun& run);
   void Violate(const std::string& what);
+  void KeepNote(const std::string& process, const LogNote& note);
   RouteTable MakeTable() const;
 
   StepWorldOptions options_;
--- /dev/null
+++ b/standins/step_world_calls.cc
@@ -0,0 +1,163 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "step_world.h"
+#include "step_world_parts.h"
+
+namespace geranium::standins {
+namespace {
+
+/// From an order to its arrival at the worker, and back.
+constexpr Duration kCallDelay{1};
+constexpr Duration kOrderTimeout{20};
+
+}  // namespace
+
+void StepWorld::DrainAgent(int index) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  for (SessionAction& action : agent.session->TakeActions()) {
+    if (auto* send = std::get_if<SendMessage>(&action)) {
+      At(now_ + options_.link_delay,
+         [this, link = send->link, message = send->message] {
+           Deliver(link, true, message);
+         });
+    } else if (auto* start = std::get_if<StartRun>(&action)) {
+      CallWorker(index, *start);
+    } else if (auto* stop = std::get_if<StopRun>(&action)) {
+      CallWorker(index, *stop);
+    } else if (auto* hold = std::get_if<HoldRuns>(&action)) {
+      AnswerHold(index, agent.life, *hold, now_ + hold->wait);
+    } else if (auto* close = std::get_if<CloseLink>(&action)) {
+      At(now_, [this, link = close->link] { Break(link); });
+    } else if (auto* note = std::get_if<LogNote>(&action)) {
+      KeepNote(agent.name, *note);
+    }
+  }
+}
+
+// ---- calls to workers
+
+template <class Order>
+void StepWorld::CallWorker(int index, const Order& order) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const std::uint64_t life = agent.life;
+  const auto carry_out = [this, index, order]() {
+    Agent& there = *agents_[static_cast<std::size_t>(index)];
+    if constexpr (std::is_same_v<Order, StartRun>) {
+      const OrderOutcome outcome = there.worker->Start(order, now_);
+      if (outcome.reply == OrderReply::kAccepted) NoteStart(order.run);
+      CheckWorkers();
+      return outcome;
+    } else {
+      return there.worker->Stop(order, now_);
+    }
+  };
+  const auto answer = [this, index, life, order](const OrderOutcome& outcome) {
+    Agent& there = *agents_[static_cast<std::size_t>(index)];
+    if (!there.alive || there.life != life) return;
+    if constexpr (std::is_same_v<Order, StartRun>) {
+      there.session->OnStartEnded(order.run, outcome, now_);
+    } else {
+      there.session->OnStopEnded(order.run, outcome, now_);
+    }
+    DrainAgent(index);
+  };
+  const bool unanswered = random_.Chance(agent.worker->faults().unanswered);
+  if (!agent.worker_alive || agent.worker->faults().silent || unanswered) {
+    At(now_ + kOrderTimeout, [answer] { answer(OrderOutcome{}); });
+    if (!agent.worker_alive || !unanswered) return;
+    const Duration late(2000 +
+                        static_cast<std::int64_t>(random_.Below(10'000)));
+    At(now_ + late, [this, index, carry_out] {
+      if (agents_[static_cast<std::size_t>(index)]->worker_alive) carry_out();
+    });
+    return;
+  }
+  At(now_ + kCallDelay, [this, carry_out, answer] {
+    const OrderOutcome outcome = carry_out();
+    At(now_ + kCallDelay, [answer, outcome] { answer(outcome); });
+  });
+}
+
+void StepWorld::AnswerHold(int index, std::uint64_t life, const HoldRuns& order,
+                           TimePoint until) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  if (agent.life != life || !agent.alive) return;
+  const bool lost = !agent.worker_alive || agent.worker->faults().silent ||
+                    random_.Chance(agent.worker->faults().unanswered / 20);
+  if (lost) {
+    At(until + kOrderTimeout, [this, index, life, number = order.number] {
+      Agent& there = *agents_[static_cast<std::size_t>(index)];
+      if (!there.alive || there.life != life) return;
+      there.session->OnHoldEnded(number, HoldOutcome{}, now_);
+      there.session->AfterEvents(now_);
+      DrainAgent(index);
+    });
+    return;
+  }
+  agent.worker->Advance(now_);
+  if (now_ < until && !agent.worker->HasEnd(order.acknowledged_end)) {
+    At(now_ + Duration(2), [this, index, life, order, until] {
+      AnswerHold(index, life, order, until);
+    });
+    return;
+  }
+  const HoldOutcome outcome = agent.worker->Hold(order, now_);
+  At(std::max(now_ + kCallDelay, agent.frozen_until),
+     [this, index, life, outcome, number = order.number] {
+       Agent& there = *agents_[static_cast<std::size_t>(index)];
+       if (!there.alive || there.life != life) return;
+       there.session->OnHoldEnded(number, outcome, now_);
+       there.session->AfterEvents(now_);
+       DrainAgent(index);
+     });
+}
+
+void StepWorld::CheckWorkers() {
+  std::map<TaskName, std::string> running;
+  for (const auto& agent : agents_) {
+    if (!agent->worker_alive) continue;
+    const std::string id = agent->worker->self().id.value();
+    if (!agent->worker->self().capacity.Holds([&] {
+          Resources used = agent->worker->in_use();
+          used.cpu -= 1e-6;
+          return used;
+        }())) {
+      Violate(id + " is filled beyond its capacity");
+    }
+    for (const TaskRun& run : agent->worker->running()) {
+      const auto [other, is_new] = running.emplace(run.task, id);
+      if (!is_new) {
+        Violate("task " + run.task.value() + " runs twice, at " +
+                other->second + " and " + id);
+      }
+    }
+  }
+}
+
+void StepWorld::NoteStart(const TaskRun& run) {
+  ++starts_;
+  const std::string id = run.task.value().substr(0, run.task.value().find('.'));
+  started_.insert(id);
+  const Job& job = *jobs_[std::stoul(id, nullptr, 16) - 1];
+  if (job.refused) Violate("a task of the refused job " + id + " starts");
+}
+
+std::vector<std::string> StepWorld::Unanswered() const {
+  std::vector<std::string> list;
+  for (const auto& job : jobs_) {
+    if (job->answer) continue;
+    list.push_back(job->kind.name + " " + job->spec.id.value() + " asked at " +
+                   std::to_string(job->asked.ms()) + " ms, sending " +
+                   std::to_string(job->attempt) + " to entry-" +
+                   std::to_string(job->entry));
+  }
+  return list;
+}
+
+void StepWorld::Violate(const std::string& what) {
+  violations_.push_back("at " + std::to_string(now_.ms()) + " ms: " + what);
+}
+
+}  // namespace geranium::standins
--- /dev/null
+++ b/standins/step_world_faults.cc
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "step_world.h"
+#include "step_world_parts.h"
+
+namespace geranium::standins {
+WorkerFaults& StepWorld::faults(int worker) {
+  return agents_[static_cast<std::size_t>(worker)]->worker->faults();
+}
+
+SizedWorker& StepWorld::worker(int index) {
+  return *agents_[static_cast<std::size_t>(index)]->worker;
+}
+
+const WorkerSession& StepWorld::session(int worker) const {
+  return *agents_[static_cast<std::size_t>(worker)]->session;
+}
+
+const StepEntryNode& StepWorld::entry(int index) const {
+  return *entries_[static_cast<std::size_t>(index)]->node;
+}
+
+void StepWorld::KillAgent(int worker, Duration down) {
+  Agent& agent = *agents_[static_cast<std::size_t>(worker)];
+  if (!agent.alive) return;
+  agent.alive = false;
+  std::vector<LinkId> links;
+  for (const auto& [link, wire] : wires_) {
+    if (wire.agent == worker) links.push_back(link);
+  }
+  for (const LinkId link : links) Break(link);
+  At(now_ + down, [this, worker] { StartAgent(worker); });
+}
+
+void StepWorld::FreezeAgent(int worker, Duration span) {
+  agents_[static_cast<std::size_t>(worker)]->frozen_until = now_ + span;
+}
+
+void StepWorld::RestartWorker(int worker, Duration down) {
+  Agent& agent = *agents_[static_cast<std::size_t>(worker)];
+  if (!agent.worker_alive) return;
+  agent.worker_alive = false;
+  At(now_ + down, [this, worker] {
+    Agent& there = *agents_[static_cast<std::size_t>(worker)];
+    there.worker->Restart(now_);
+    there.worker_alive = true;
+    there.next_announce = now_;
+  });
+}
+
+void StepWorld::KillEntry(int index, Duration down) {
+  Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  if (!entry.alive) return;
+  DropCallers(index);
+  entry.alive = false;
+  std::vector<LinkId> links;
+  for (const auto& [link, wire] : wires_) {
+    if (wire.entry == index || wire.first_entry == index) {
+      links.push_back(link);
+    }
+  }
+  for (const LinkId link : links) Break(link);
+  At(now_ + down, [this, index] { StartEntry(index); });
+}
+
+void StepWorld::ResetEntryLinks(int index) {
+  std::vector<LinkId> links;
+  for (const auto& [link, wire] : wires_) {
+    const bool between_entries = wire.agent < 0;
+    if (between_entries && (wire.entry == index || wire.first_entry == index)) {
+      links.push_back(link);
+    }
+  }
+  for (const LinkId link : links) Break(link);
+}
+
+void StepWorld::FreezeEntry(int index, Duration span) {
+  entries_[static_cast<std::size_t>(index)]->frozen_until = now_ + span;
+}
+
+void StepWorld::DropCallers(int index) {
+  Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  for (const auto& [caller, number] : entry.callers) {
+    Job& job = *jobs_[static_cast<std::size_t>(number)];
+    if (job.entry != index || job.answer) continue;
+    job.broken = true;
+    At(now_ + options_.resend, [this, number = number, index] {
+      SendJob(number, (index + 1) % options_.entries);
+    });
+  }
+}
+
+void StepWorld::CutAgent(int worker, Duration span) {
+  for (int i = 0; i < options_.entries; ++i) {
+    CutEntries(i, options_.entries + worker, span);
+  }
+}
+
+void StepWorld::CutEntries(int one, int other, Duration span) {
+  const std::pair cut(std::min(one, other), std::max(one, other));
+  cuts_.insert(cut);
+  At(now_ + span, [this, cut] { cuts_.erase(cut); });
+}
+
+void StepWorld::TakeOut(const std::string& data_centre, bool out) {
+  if (out) {
+    out_.insert(data_centre);
+  } else {
+    out_.erase(data_centre);
+  }
+  ++table_offset_;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (!entries_[i]->alive) continue;
+    entries_[i]->node->OnRouteTable(MakeTable(), "operator", now_);
+    DrainEntry(static_cast<int>(i));
+  }
+}
+
+void StepWorld::LeaveAgent(int worker) {
+  agents_[static_cast<std::size_t>(worker)]->session->Leave(now_);
+  DrainAgent(worker);
+}
+
+}  // namespace geranium::standins
--- /dev/null
+++ b/standins/step_world_links.cc
@@ -0,0 +1,187 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "step_world.h"
+#include "step_world_parts.h"
+
+namespace geranium::standins {
+namespace {
+
+constexpr Duration kRedial{60};
+
+}  // namespace
+
+void StepWorld::StartEntry(int index) {
+  Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  StepEntryOptions options;
+  options.id = EntryId("entry-" + std::to_string(index));
+  options.incarnation = Incarnation(next_incarnation_++);
+  options.link_address = "entry-" + std::to_string(index);
+  options.scheduler = options_.scheduler;
+  options.scheduler.incarnation = options.incarnation;
+  options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
+  entry.node = std::make_unique<StepEntryNode>(options);
+  entry.alive = true;
+  ++entry.life;
+  entry.callers.clear();
+  entry.node->OnRouteTable(MakeTable(), "operator", now_);
+  for (int i = 0; i < options_.entries; ++i) {
+    if (i != index) DialEntry(index, i);
+  }
+}
+
+void StepWorld::StartAgent(int index) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  WorkerSessionOptions options;
+  options.name = agent.name;
+  options.incarnation = Incarnation(next_incarnation_++);
+  options.first_fence = static_cast<std::uint64_t>(now_.ms());
+  agent.session = std::make_unique<WorkerSession>(options);
+  agent.alive = true;
+  ++agent.life;
+  agent.next_announce = now_;
+  for (int i = 0; i < options_.entries; ++i) Dial(index, i);
+}
+
+bool StepWorld::Blocked(int from, int to) const {
+  return cuts_.contains({std::min(from, to), std::max(from, to)});
+}
+
+void StepWorld::Dial(int index, int entry_index) {
+  const Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
+  const std::uint64_t life = agent.life;
+  const bool reachable = agent.alive && entry.alive &&
+                         now_ >= entry.frozen_until &&
+                         now_ >= agent.frozen_until &&
+                         !Blocked(options_.entries + index, entry_index);
+  if (!reachable) {
+    At(now_ + kRedial, [this, index, entry_index, life] {
+      if (agents_[static_cast<std::size_t>(index)]->life == life) {
+        Dial(index, entry_index);
+      }
+    });
+    return;
+  }
+  const LinkId link(next_link_++);
+  wires_[link] = Wire{index, -1, entry_index, agent.life, entry.life};
+  agent.session->OnLinkUp(link, now_);
+  entry.node->OnLinkUp(link, now_);
+  DrainAgent(index);
+  DrainEntry(entry_index);
+}
+
+void StepWorld::DialEntry(int from, int to) {
+  const Entry& first = *entries_[static_cast<std::size_t>(from)];
+  const Entry& second = *entries_[static_cast<std::size_t>(to)];
+  const std::uint64_t life = first.life;
+  if (!first.alive || !second.alive || Blocked(from, to)) {
+    At(now_ + kRedial, [this, from, to, life] {
+      if (entries_[static_cast<std::size_t>(from)]->life == life) {
+        DialEntry(from, to);
+      }
+    });
+    return;
+  }
+  const LinkId link(next_link_++);
+  wires_[link] = Wire{-1, from, to, first.life, second.life};
+  first.node->OnLinkUp(link, now_);
+  second.node->OnLinkUp(link, now_);
+  DrainEntry(from);
+  DrainEntry(to);
+}
+
+void StepWorld::Break(LinkId link) {
+  const auto found = wires_.find(link);
+  if (found == wires_.end()) return;
+  const Wire wire = found->second;
+  wires_.erase(found);
+  Entry& entry = *entries_[static_cast<std::size_t>(wire.entry)];
+  if (entry.alive && entry.life == wire.entry_life) {
+    entry.node->OnLinkDown(link, now_);
+  }
+  if (wire.agent >= 0) {
+    Agent& agent = *agents_[static_cast<std::size_t>(wire.agent)];
+    if (agent.alive && agent.life == wire.first_life) {
+      agent.session->OnLinkDown(link, now_);
+      At(now_ + kRedial, [this, wire, life = agent.life] {
+        if (agents_[static_cast<std::size_t>(wire.agent)]->life == life) {
+          Dial(wire.agent, wire.entry);
+        }
+      });
+    }
+    return;
+  }
+  Entry& first = *entries_[static_cast<std::size_t>(wire.first_entry)];
+  if (!first.alive || first.life != wire.first_life) return;
+  first.node->OnLinkDown(link, now_);
+  At(now_ + kRedial, [this, wire, life = first.life] {
+    if (entries_[static_cast<std::size_t>(wire.first_entry)]->life == life) {
+      DialEntry(wire.first_entry, wire.entry);
+    }
+  });
+}
+
+void StepWorld::Deliver(LinkId link, bool to_second, const Message& message) {
+  const auto found = wires_.find(link);
+  if (found == wires_.end()) return;
+  const Wire wire = found->second;
+  const int first =
+      wire.agent >= 0 ? options_.entries + wire.agent : wire.first_entry;
+  if (Blocked(first, wire.entry)) {
+    // Held up until the path is whole again.
+    At(now_ + Duration(20),
+       [this, link, to_second, message] { Deliver(link, to_second, message); });
+    return;
+  }
+  const int entry_index = to_second ? wire.entry : wire.first_entry;
+  if (!to_second && wire.agent >= 0) {
+    Agent& agent = *agents_[static_cast<std::size_t>(wire.agent)];
+    if (!agent.alive || agent.life != wire.first_life) return;
+    if (now_ < agent.frozen_until) {
+      At(agent.frozen_until, [this, link, to_second, message] {
+        Deliver(link, to_second, message);
+      });
+      return;
+    }
+    agent.session->OnMessage(link, message, now_);
+    DrainAgent(wire.agent);
+    return;
+  }
+  Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
+  const std::uint64_t life = to_second ? wire.entry_life : wire.first_life;
+  if (!entry.alive || entry.life != life) return;
+  if (now_ < entry.frozen_until) {
+    At(entry.frozen_until,
+       [this, link, to_second, message] { Deliver(link, to_second, message); });
+    return;
+  }
+  entry.node->OnMessage(link, message, now_);
+  entry.node->OnFrameEnd(now_);
+  DrainEntry(entry_index);
+}
+
+void StepWorld::DrainEntry(int index) {
+  Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  for (StepAction& action : entry.node->TakeActions()) {
+    if (auto* send = std::get_if<SendMessage>(&action)) {
+      const auto wire = wires_.find(send->link);
+      if (wire == wires_.end()) continue;
+      const bool to_second =
+          wire->second.entry != index || wire->second.entry_life != entry.life;
+      At(now_ + options_.link_delay,
+         [this, link = send->link, to_second, message = send->message] {
+           Deliver(link, to_second, message);
+         });
+    } else if (auto* answer = std::get_if<AnswerStepJob>(&action)) {
+      TakeAnswer(index, *answer);
+    } else if (auto* close = std::get_if<CloseLink>(&action)) {
+      At(now_, [this, link = close->link] { Break(link); });
+    } else if (auto* note = std::get_if<LogNote>(&action)) {
+      KeepNote("entry-" + std::to_string(index), *note);
+    }
+  }
+}
+
+}  // namespace geranium::standins
--- /dev/null
+++ b/standins/step_world_parts.h
@@ -0,0 +1,69 @@
+#ifndef GERANIUM_STANDINS_STEP_WORLD_PARTS_H_
+#define GERANIUM_STANDINS_STEP_WORLD_PARTS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "step_world.h"
+
+// What StepWorld's own source files share.
+
+namespace geranium::standins {
+
+/// The callers' host and the workers' service.
+inline constexpr char kHost[] = "callers.example";
+inline constexpr char kService[] = "desk";
+
+struct StepWorld::Agent {
+  std::string name;
+  std::unique_ptr<SizedWorker> worker;
+  std::unique_ptr<WorkerSession> session;
+  std::uint64_t life = 0;
+  std::uint64_t worker_life = 0;
+  bool alive = false;
+  bool worker_alive = true;
+  TimePoint frozen_until = TimePoint::Never();
+  TimePoint next_tick;
+  TimePoint next_announce;
+};
+
+struct StepWorld::Entry {
+  std::unique_ptr<StepEntryNode> node;
+  std::uint64_t life = 0;
+  bool alive = false;
+  TimePoint frozen_until = TimePoint::Never();
+  TimePoint next_tick;
+  std::map<CallerHandle, int> callers;
+};
+
+struct StepWorld::Job {
+  LoadClass kind;
+  StepJob spec;
+  TimePoint asked;
+  Duration goal;
+  int entry = -1;
+  std::uint64_t attempt = 0;
+  bool resends = true;
+  std::optional<TimePoint> completed;
+  std::optional<TimePoint> answered;
+  std::optional<StepAnswer> answer;
+  bool refused = false;
+  bool left = false;
+  bool broken = false;    ///< A sending of it ended without an answer.
+  bool hopeless = false;  ///< Its tasks always fail.
+};
+
+struct StepWorld::Wire {
+  int agent = -1;  ///< The first end; -1 if it is an entry.
+  int first_entry = -1;
+  int entry = -1;  ///< The second end.
+  std::uint64_t first_life = 0;
+  std::uint64_t entry_life = 0;
+};
+
+}  // namespace geranium::standins
+
+#endif  // GERANIUM_STANDINS_STEP_WORLD_PARTS_H_
