--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -10,20 +10,16 @@
 namespace geranium {
 namespace {
 
-constexpr Duration kLongestDialWait{500};
-/// The settings file is looked at this often, besides at SIGHUP.
-constexpr Duration kReloadInterval{3000};
 /// Entries learn of the leaving agent within this time and send nothing more.
 constexpr Duration kShutdownLinger{300};
 /// Left before SIGKILL for stopping what still runs and for telling entries.
 constexpr Duration kStopMargin{900};
-constexpr Duration kShutdownMargin{300};
 
 }  // namespace
 
-StepAgentServer::StepAgentServer(StepAgentSettings settings, Reload reload)
+StepAgentServer::StepAgentServer(StepAgentSettings settings, Watch::Read read)
     : settings_(std::move(settings)),
-      reload_(std::move(reload)),
+      settings_watch_(std::move(read), settings_.entry_addresses),
       session_(settings_.node),
       links_(
           loop_.control(), loop_.traffic(),
@@ -34,26 +30,22 @@
               },
               [this](LinkId link) { session_.OnLinkDown(link, clock_.Now()); },
               [this] { Carry(); }},
-          settings_.node.incarnation.value(), kLongestDialWait),
+          settings_.node.incarnation.value(), kLongestPlatformDialWait),
       http_(loop_.traffic()),
       registration_(
           loop_.traffic(),
           [this](const ExchangePtr& exchange) { OnRegistration(exchange); }),
-      metrics_(loop_.traffic(), [this](const ExchangePtr& exchange) {
-        OnMetricsRequest(exchange);
+      metrics_(loop_.control(), loop_.traffic(), [this] {
+        return StepAgentMetrics(session_, links_, clock_.Now());
       }) {}
 
 int StepAgentServer::Run() {
   const std::string& registration = settings_.registration_address;
   const std::string& metrics = settings_.metrics_address;
-  for (const auto& [address, problem] :
-       {std::pair(registration, registration_.Listen(registration)),
-        std::pair(metrics, metrics_.Listen(metrics))}) {
-    if (problem.empty()) continue;
-    LogChange(LogLevel::kError, "listen_failed",
-              {{"address", address}, {"message", problem}});
-    return 1;
-  }
+  const std::vector<ListenOutcome> outcomes{
+      {registration, registration_.Listen(registration)},
+      {metrics, metrics_.Listen(metrics)}};
+  if (!AllListen(outcomes)) return 1;
   LogChange(LogLevel::kInfo, "started",
             {{"incarnation", ToString(settings_.node.incarnation)},
              {"worker", settings_.worker_address}});
@@ -62,7 +54,7 @@
     links_.Keep(address);
   }
   loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
-            [this] { ReloadSettings(true); });
+            [this] { LearnEntries(settings_watch_.Look(true)); });
   return exit_status_;
 }
 
@@ -162,27 +154,13 @@
   log_.Write(note, clock_.Now());
 }
 
-void StepAgentServer::OnMetricsRequest(const ExchangePtr& exchange) {
-  boost::asio::post(loop_.control(), [this, exchange] {
-    MetricFamilies families = StepAgentMetrics(session_, links_, clock_.Now());
-    HttpResponse response;
-    response.status = exchange->request().path == "/metrics" ? 200 : 404;
-    response.content_type = "text/plain; version=0.0.4";
-    if (response.status == 200) response.body = MetricsText(families);
-    exchange->Reply(std::move(response));
-  });
-}
-
 // ---- time and the end
 
 void StepAgentServer::OnTick() {
   const TimePoint now = clock_.Now();
   session_.OnTick(now);
   Carry();
-  if (now >= next_reload_) {
-    next_reload_ = now + kReloadInterval;
-    ReloadSettings(false);
-  }
+  LearnEntries(settings_watch_.LookIfDue(now));
   if (!leaving_since_) return;
   const Duration since = now - *leaving_since_;
   if (!stopped_runs_ && since >= settings_.grace - kStopMargin) {
@@ -197,25 +175,10 @@
   loop_.Stop();
 }
 
-// Only the entries' addresses may change while the process runs; the file may
-// change without a signal.
-void StepAgentServer::ReloadSettings(bool asked) {
-  const auto settings = reload_();
-  if (!settings) {
-    if (asked) {
-      LogChange(LogLevel::kError, "reload_failed", FieldsOf(settings.error()));
-    }
-    return;
-  }
-  const std::vector<std::string>& addresses = settings.value().entry_addresses;
-  const bool changed = addresses != settings_.entry_addresses;
-  if (asked || changed) {
-    LogChange(LogLevel::kInfo, "settings_reloaded",
-              {{"entries_changed", changed ? "true" : "false"}});
-  }
-  settings_.entry_addresses = addresses;
-  if (!changed) return;
-  for (const std::string& address : addresses) session_.LearnEntry(address);
+void StepAgentServer::LearnEntries(
+    const std::optional<std::vector<std::string>>& addresses) {
+  if (!addresses) return;
+  for (const std::string& address : *addresses) session_.LearnEntry(address);
   Carry();
 }
 
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -1,9 +1,10 @@
 #ifndef GERANIUM_RUNTIME_STEP_AGENT_SERVER_H_
 #define GERANIUM_RUNTIME_STEP_AGENT_SERVER_H_
 
-#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "runtime/bounded_log.h"
@@ -11,6 +12,7 @@
 #include "runtime/http_server.h"
 #include "runtime/peer_links.h"
 #include "runtime/process_loop.h"
+#include "runtime/step_process.h"
 #include "settings/step_settings.h"
 #include "worker/worker_session.h"
 
@@ -21,10 +23,10 @@
 /// traffic thread, all others on the control thread.
 class StepAgentServer {
  public:
-  using Reload = std::function<Result<StepAgentSettings>()>;
+  using Watch = SettingsWatch<StepAgentSettings>;
 
-  /// `reload` reads the settings file anew.
-  StepAgentServer(StepAgentSettings settings, Reload reload);
+  /// `read` reads the settings file anew.
+  StepAgentServer(StepAgentSettings settings, Watch::Read read);
 
   /// Runs until it is told to terminate; returns the exit status.
   int Run();
@@ -43,14 +45,12 @@
   void Carry(const LogNote& note);
   template <class Order, class OnOutcome>
   void Call(const Order& order, OnOutcome on_outcome);
-  void OnMetricsRequest(const ExchangePtr& exchange);  // traffic
   void OnTick();
   void OnTerminate(int count);
-  void ReloadSettings(bool asked);
+  void LearnEntries(const std::optional<std::vector<std::string>>& addresses);
 
   StepAgentSettings settings_;
-  Reload reload_;
-  TimePoint next_reload_;
+  Watch settings_watch_;
   SystemClock clock_;
   ProcessLoop loop_;
   WorkerSession session_;
@@ -58,7 +58,7 @@
   PeerLinks links_;
   HttpClient http_;          // traffic
   HttpServer registration_;  // traffic
-  HttpServer metrics_;       // traffic
+  MetricsEndpoint metrics_;
   std::optional<TimePoint> leaving_since_;
   bool stopped_runs_ = false;
   int exit_status_ = 0;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -12,22 +12,16 @@
 namespace geranium {
 namespace {
 
-/// Entries and agents that return are linked again within about a second.
-constexpr Duration kLongestDialWait{500};
-/// The settings file is looked at this often, besides at SIGHUP.
-constexpr Duration kReloadInterval{3000};
 /// After SIGTERM, requests are still taken in for at least this long: until the
 /// platform has seen that the entry is not ready, and open connections have
 /// been closed behind an answer.
 constexpr Duration kShutdownLinger{3500};
-/// Left for the end of the process before SIGKILL.
-constexpr Duration kShutdownMargin{300};
 
 }  // namespace
 
-StepEntryServer::StepEntryServer(StepEntrySettings settings, Reload reload)
+StepEntryServer::StepEntryServer(StepEntrySettings settings, Watch::Read read)
     : settings_(std::move(settings)),
-      reload_(std::move(reload)),
+      settings_watch_(std::move(read), settings_.entry_addresses),
       node_(settings_.node),
       links_(loop_.control(), loop_.traffic(),
              PeerLinks::Handlers{
@@ -40,7 +34,7 @@
                    node_.OnFrameEnd(clock_.Now());
                    Carry();
                  }},
-             settings_.node.incarnation.value(), kLongestDialWait),
+             settings_.node.incarnation.value(), kLongestPlatformDialWait),
       http_(loop_.traffic()),
       callers_(
           loop_.traffic(),
@@ -48,25 +42,17 @@
           HttpServer::HalfClose::kGone),
       ready_(loop_.traffic(),
              [this](const ExchangePtr& exchange) { OnReadyRequest(exchange); }),
-      metrics_(loop_.traffic(), [this](const ExchangePtr& exchange) {
-        OnMetricsRequest(exchange);
-      }) {}
+      metrics_(loop_.control(), loop_.traffic(),
+               [this] { return CollectMetrics(); }) {}
 
 int StepEntryServer::Run() {
   const std::string& link_address = settings_.node.link_address;
-  for (const auto& [address, problem] :
-       {std::pair(link_address, links_.Listen(link_address)),
-        std::pair(settings_.caller_address,
-                  callers_.Listen(settings_.caller_address)),
-        std::pair(settings_.ready_address,
-                  ready_.Listen(settings_.ready_address)),
-        std::pair(settings_.metrics_address,
-                  metrics_.Listen(settings_.metrics_address))}) {
-    if (problem.empty()) continue;
-    LogChange(LogLevel::kError, "listen_failed",
-              {{"address", address}, {"message", problem}});
-    return 1;
-  }
+  const std::vector<ListenOutcome> outcomes{
+      {link_address, links_.Listen(link_address)},
+      {settings_.caller_address, callers_.Listen(settings_.caller_address)},
+      {settings_.ready_address, ready_.Listen(settings_.ready_address)},
+      {settings_.metrics_address, metrics_.Listen(settings_.metrics_address)}};
+  if (!AllListen(outcomes)) return 1;
   LogChange(LogLevel::kInfo, "started",
             {{"incarnation", ToString(settings_.node.incarnation)},
              {"caller_address", settings_.caller_address},
@@ -75,7 +61,7 @@
   Carry();
   boost::asio::post(loop_.control(), [this] { FollowOperator(); });
   loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
-            [this] { ReloadSettings(true); });
+            [this] { LearnEntries(settings_watch_.Look(true)); });
   return exit_status_;
 }
 
@@ -228,18 +214,12 @@
   FollowOperator();
 }
 
-void StepEntryServer::OnMetricsRequest(const ExchangePtr& exchange) {
-  boost::asio::post(loop_.control(), [this, exchange] {
-    MetricFamilies families = StepEntryMetrics(node_, links_, clock_.Now());
-    for (auto& family : answer_times_.Collect()) {
-      families.push_back(std::move(family));
-    }
-    HttpResponse response;
-    response.status = exchange->request().path == "/metrics" ? 200 : 404;
-    response.content_type = "text/plain; version=0.0.4";
-    if (response.status == 200) response.body = MetricsText(families);
-    exchange->Reply(std::move(response));
-  });
+MetricFamilies StepEntryServer::CollectMetrics() {
+  MetricFamilies families = StepEntryMetrics(node_, links_, clock_.Now());
+  for (auto& family : answer_times_.Collect()) {
+    families.push_back(std::move(family));
+  }
+  return families;
 }
 
 // ---- time and the end
@@ -248,10 +228,7 @@
   const TimePoint now = clock_.Now();
   node_.OnTick(now);
   Carry();
-  if (now >= next_reload_) {
-    next_reload_ = now + kReloadInterval;
-    ReloadSettings(false);
-  }
+  LearnEntries(settings_watch_.LookIfDue(now));
   if (!leaving_since_) return;
   const Duration since = now - *leaving_since_;
   const bool done =
@@ -263,25 +240,10 @@
   loop_.Stop();
 }
 
-// Only the entries' addresses may change while the process runs; the file may
-// change without a signal.
-void StepEntryServer::ReloadSettings(bool asked) {
-  const auto settings = reload_();
-  if (!settings) {
-    if (asked) {
-      LogChange(LogLevel::kError, "reload_failed", FieldsOf(settings.error()));
-    }
-    return;
-  }
-  const std::vector<std::string>& addresses = settings.value().entry_addresses;
-  const bool changed = addresses != settings_.entry_addresses;
-  if (asked || changed) {
-    LogChange(LogLevel::kInfo, "settings_reloaded",
-              {{"entries_changed", changed ? "true" : "false"}});
-  }
-  settings_.entry_addresses = addresses;
-  if (!changed) return;
-  for (const std::string& address : addresses) node_.LearnEntry(address);
+void StepEntryServer::LearnEntries(
+    const std::optional<std::vector<std::string>>& addresses) {
+  if (!addresses) return;
+  for (const std::string& address : *addresses) node_.LearnEntry(address);
   Carry();
 }
 
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -1,10 +1,11 @@
 #ifndef GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
 #define GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
 
-#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "data_centre/route_follower.h"
@@ -15,6 +16,7 @@
 #include "runtime/peer_links.h"
 #include "runtime/process_loop.h"
 #include "runtime/step_metrics.h"
+#include "runtime/step_process.h"
 #include "settings/step_settings.h"
 
 namespace geranium {
@@ -24,10 +26,10 @@
 /// are used on the traffic thread, all others on the control thread.
 class StepEntryServer {
  public:
-  using Reload = std::function<Result<StepEntrySettings>()>;
+  using Watch = SettingsWatch<StepEntrySettings>;
 
-  /// `reload` reads the settings file anew.
-  StepEntryServer(StepEntrySettings settings, Reload reload);
+  /// `read` reads the settings file anew.
+  StepEntryServer(StepEntrySettings settings, Watch::Read read);
 
   /// Runs until it is told to terminate; returns the exit status.
   int Run();
@@ -47,14 +49,13 @@
   void Carry(const LogNote& note);
   void FollowOperator();
   void OnOperatorLog(const LogStep& step, const HttpOutcome& outcome);
-  void OnMetricsRequest(const ExchangePtr& exchange);  // traffic
+  MetricFamilies CollectMetrics();
   void OnTick();
   void OnTerminate(int count);
-  void ReloadSettings(bool asked);
+  void LearnEntries(const std::optional<std::vector<std::string>>& addresses);
 
   StepEntrySettings settings_;
-  Reload reload_;
-  TimePoint next_reload_;
+  Watch settings_watch_;
   SystemClock clock_;
   ProcessLoop loop_;
   StepEntryNode node_;
@@ -64,7 +65,7 @@
   HttpClient http_;     // traffic
   HttpServer callers_;  // traffic
   HttpServer ready_;    // traffic
-  HttpServer metrics_;  // traffic
+  MetricsEndpoint metrics_;
   std::uint64_t next_caller_ = 1;
   struct Waiting {
     ExchangePtr exchange;
--- /dev/null
+++ b/src/runtime/step_process.cc
@@ -0,0 +1,41 @@
+#include "runtime/step_process.h"
+
+#include <boost/asio/post.hpp>
+
+namespace geranium {
+
+bool AllListen(const std::vector<ListenOutcome>& outcomes) {
+  for (const auto& [address, problem] : outcomes) {
+    if (problem.empty()) continue;
+    LogChange(LogLevel::kError, "listen_failed",
+              {{"address", address}, {"message", problem}});
+    return false;
+  }
+  return true;
+}
+
+MetricsEndpoint::MetricsEndpoint(boost::asio::io_context& control,
+                                 boost::asio::io_context& traffic,
+                                 Collect collect)
+    : control_(control),
+      collect_(std::move(collect)),
+      server_(traffic, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        Answer(exchange);
+      }) {}
+
+void MetricsEndpoint::Answer(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->request().path != "/metrics") {
+    HttpResponse response;
+    response.status = 404;
+    exchange->Reply(std::move(response));
+    return;
+  }
+  boost::asio::post(control_, [this, exchange] {
+    HttpResponse response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = MetricsText(collect_());
+    exchange->Reply(std::move(response));
+  });
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/runtime/step_process.h
@@ -0,0 +1,105 @@
+#ifndef GERANIUM_RUNTIME_STEP_PROCESS_H_
+#define GERANIUM_RUNTIME_STEP_PROCESS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "runtime/http_server.h"
+#include "runtime/logging.h"
+#include "runtime/metrics.h"
+
+// What entries and agents on a platform have in common as processes.
+
+namespace geranium {
+
+/// Processes that return are linked again within about a second.
+inline constexpr Duration kLongestPlatformDialWait{500};
+/// Left for the end of a process before it is killed.
+inline constexpr Duration kShutdownMargin{300};
+
+/// An address and what went wrong when it was listened on, if anything.
+using ListenOutcome = std::pair<std::string, std::string>;
+
+/// True if all succeeded; logs the first that did not.
+bool AllListen(const std::vector<ListenOutcome>& outcomes);
+
+/// Serves the metrics that `collect` gives, called on the control thread.
+class MetricsEndpoint {
+ public:
+  using Collect = std::function<MetricFamilies()>;
+
+  MetricsEndpoint(boost::asio::io_context& control,
+                  boost::asio::io_context& traffic, Collect collect);
+
+  /// Takes connections at `ip:port`; returns what went wrong, or nothing.
+  std::string Listen(const std::string& address) {
+    return server_.Listen(address);
+  }
+
+ private:
+  void Answer(const std::shared_ptr<HttpExchange>& exchange);
+
+  boost::asio::io_context& control_;
+  Collect collect_;
+  HttpServer server_;
+};
+
+/// Reads the settings file again when asked to and now and then, since it may
+/// change without a signal. Only the entries' addresses take effect then.
+template <class Settings>
+class SettingsWatch {
+ public:
+  /// The file is looked at this often.
+  static constexpr Duration kInterval{3000};
+
+  using Read = std::function<Result<Settings>()>;
+
+  SettingsWatch(Read read, std::vector<std::string> entry_addresses)
+      : read_(std::move(read)), entry_addresses_(std::move(entry_addresses)) {}
+
+  /// The entries' addresses, if they have changed.
+  std::optional<std::vector<std::string>> LookIfDue(TimePoint now) {
+    if (now < next_) return std::nullopt;
+    next_ = now + kInterval;
+    return Look(false);
+  }
+  /// As above, at once; `asked` says that the outcome is logged in any case.
+  std::optional<std::vector<std::string>> Look(bool asked) {
+    const Result<Settings> settings = read_();
+    if (!settings) {
+      const bool is_new = problem_ != settings.error().message;
+      problem_ = settings.error().message;
+      if (asked || is_new) {
+        LogChange(LogLevel::kError, "reload_failed",
+                  FieldsOf(settings.error()));
+      }
+      return std::nullopt;
+    }
+    problem_.clear();
+    const bool changed = settings.value().entry_addresses != entry_addresses_;
+    if (asked || changed) {
+      LogChange(LogLevel::kInfo, "settings_reloaded",
+                {{"entries_changed", changed ? "true" : "false"}});
+    }
+    if (!changed) return std::nullopt;
+    entry_addresses_ = settings.value().entry_addresses;
+    return entry_addresses_;
+  }
+
+ private:
+  Read read_;
+  std::vector<std::string> entry_addresses_;
+  TimePoint next_;
+  std::string problem_;  ///< Of the last look; empty if there was none.
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_RUNTIME_STEP_PROCESS_H_
--- a/tests/step_world_test.cc
+++ b/tests/step_world_test.cc
@@ -33,6 +33,21 @@
     return kind;
   }
 
+  /// Some long jobs at every entry, once the processes are linked.
+  static std::vector<int> SubmitLongJobs(StepWorld& world) {
+    world.Run(TimePoint(1600));
+    std::vector<int> jobs;
+    for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+    return jobs;
+  }
+
+  static void CheckCompleted(const StepWorld& world,
+                             const std::vector<int>& jobs) {
+    CHECK(world.Unanswered() == std::vector<std::string>());
+    for (const int job : jobs) CHECK(world.IsCompleted(job));
+    CheckPromises(world);
+  }
+
   static void CheckPromises(const StepWorld& world) {
     for (const std::string& line : world.log) UNSCOPED_INFO(line);
     for (const std::string& violation : world.violations()) {
@@ -135,19 +150,12 @@
                  "StepWorld an agent killed with tasks running: they run again "
                  "once the old runs have ended") {
   StepWorld world(WithoutLoad());
-  world.Run(TimePoint(1600));
-  std::vector<int> jobs;
-  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  const std::vector<int> jobs = SubmitLongJobs(world);
   world.At(TimePoint(1900), [&] {
     for (int i = 0; i < 4; ++i) world.KillAgent(i, Duration(100 + 300 * i));
   });
   world.Run(TimePoint(9000));
-  CHECK(world.Unanswered() == std::vector<std::string>());
-  for (const int job : jobs) {
-    for (const std::string& line : world.log) UNSCOPED_INFO(line);
-    CHECK(world.IsCompleted(job));
-  }
-  CheckPromises(world);
+  CheckCompleted(world, jobs);
 }
 
 TEST_CASE_METHOD(StepWorldTest,
@@ -159,12 +167,7 @@
   for (int i = 0; i < 8; ++i) jobs.push_back(world.Submit(1, Long()));
   world.At(TimePoint(2100), [&] { world.KillEntry(1, Duration(700)); });
   world.Run(TimePoint(9000));
-  CHECK(world.Unanswered() == std::vector<std::string>());
-  for (const int job : jobs) {
-    for (const std::string& line : world.log) UNSCOPED_INFO(line);
-    CHECK(world.IsCompleted(job));
-  }
-  CheckPromises(world);
+  CheckCompleted(world, jobs);
 }
 
 TEST_CASE_METHOD(StepWorldTest,
@@ -218,30 +221,21 @@
 TEST_CASE_METHOD(StepWorldTest,
                  "StepWorld a worker's new life: what it ran runs elsewhere") {
   StepWorld world(WithoutLoad());
-  world.Run(TimePoint(1600));
-  std::vector<int> jobs;
-  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  const std::vector<int> jobs = SubmitLongJobs(world);
   world.At(TimePoint(1900), [&] {
     world.RestartWorker(0, Duration(5));
     world.RestartWorker(1, Duration(400));
     world.RestartWorker(2, Duration(3000));
   });
   world.Run(TimePoint(9000));
-  CHECK(world.Unanswered() == std::vector<std::string>());
-  for (const int job : jobs) {
-    for (const std::string& line : world.log) UNSCOPED_INFO(line);
-    CHECK(world.IsCompleted(job));
-  }
-  CheckPromises(world);
+  CheckCompleted(world, jobs);
 }
 
 TEST_CASE_METHOD(StepWorldTest,
                  "StepWorld agents frozen or cut off with their workers "
                  "running on: their tasks run elsewhere, never twice") {
   StepWorld world(WithoutLoad());
-  world.Run(TimePoint(1600));
-  std::vector<int> jobs;
-  for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+  const std::vector<int> jobs = SubmitLongJobs(world);
   world.At(TimePoint(1900), [&] {
     world.FreezeAgent(0, Duration(3500));
     world.FreezeAgent(1, Duration(900));
@@ -249,12 +243,7 @@
     world.CutAgent(3, Duration(700));
   });
   world.Run(TimePoint(9000));
-  CHECK(world.Unanswered() == std::vector<std::string>());
-  for (const int job : jobs) {
-    for (const std::string& line : world.log) UNSCOPED_INFO(line);
-    CHECK(world.IsCompleted(job));
-  }
-  CheckPromises(world);
+  CheckCompleted(world, jobs);
 }
 
 TEST_CASE_METHOD(StepWorldTest,
