--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -51,7 +51,7 @@
       cxxopts::value<std::int64_t>()->default_value("50"))(
       "urgent-ahead", "see StepSchedulerOptions",
       cxxopts::value<double>()->default_value("2"))(
-      "home-reserve", "see StepSchedulerOptions",
+      "local-reserve", "see StepSchedulerOptions",
       cxxopts::value<double>()->default_value("0.2"))(
       "same-rack", "these jobs all want the first rack")(
       "slow", "factor by which worker 2 is slow, from half of the length on",
@@ -75,7 +75,7 @@
   world_options.scheduler.wait_percent =
       parsed["wait-percent"].as<std::int64_t>();
   world_options.scheduler.urgent_ahead = parsed["urgent-ahead"].as<double>();
-  world_options.scheduler.home_reserve = parsed["home-reserve"].as<double>();
+  world_options.scheduler.local_reserve = parsed["local-reserve"].as<double>();
   StepWorld world(world_options);
   for (int i = 0; i < world_options.workers; ++i) {
     world.faults(i).unanswered = parsed["unanswered"].as<double>();
@@ -86,7 +86,7 @@
     world.faults(5).hangs = parsed.count("hang") > 0;
   });
   std::cout << std::fixed << std::setprecision(2)
-            << "   ms  busy reserved  open  asked in goal late refused\n";
+            << "   ms  busy reserved  open  asked in objective late refused\n";
   constexpr Duration kWindow{500};
   geranium::standins::ClassReport before;
   for (TimePoint until(1600); until < end + Duration(3000);
@@ -103,7 +103,7 @@
     geranium::standins::ClassReport total;
     for (const auto& [name, report] : world.Report()) {
       total.asked += report.asked;
-      total.in_goal += report.in_goal;
+      total.in_objective += report.in_objective;
       total.late += report.late + report.useless;
       total.refused += report.refused;
     }
@@ -116,15 +116,15 @@
                 << sum.running / sum.capacity << std::setw(9)
                 << sum.reserved / sum.capacity << std::setw(6) << open
                 << std::setw(7) << total.asked - before.asked << std::setw(8)
-                << total.in_goal - before.in_goal << std::setw(5)
+                << total.in_objective - before.in_objective << std::setw(5)
                 << total.late - before.late << std::setw(8)
                 << total.refused - before.refused << "\n";
     }
     before = total;
   }
   for (const auto& [name, report] : world.Report()) {
-    std::cout << name << ": asked " << report.asked << ", in goal "
-              << report.in_goal << ", late " << report.late << ", useless "
+    std::cout << name << ": asked " << report.asked << ", in objective "
+              << report.in_objective << ", late " << report.late << ", useless "
               << report.useless << ", refused " << report.refused << ", failed "
               << report.failed << ", worth " << report.Worth() << "\n";
   }
--- a/src/contract/route_table.h
+++ b/src/contract/route_table.h
@@ -19,7 +19,7 @@
   std::string path_prefix;
   ServiceName service;
   int priority = 0;  ///< 0 is the most urgent.
-  /// Response-time goal: slack times the longest chain of work, plus this.
+  /// Response-time objective: slack times the longest chain of work, plus this.
   Duration target_latency;
   double slack = 1.0;
   std::uint32_t max_attempts = 1;  ///< Failed runs of one task.
--- a/src/entry/dispatcher_attempts.cc
+++ b/src/entry/dispatcher_attempts.cc
@@ -265,5 +265,4 @@
   return attempt;
 }
 
-
 }  // namespace geranium
--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -1,8 +1,8 @@
-#include "entry/step_entry_node.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "entry/step_entry_node.h"
+
 namespace geranium {
 namespace {
 
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -9,7 +9,7 @@
 /// A caller that is refused for want of a route table may try again after this.
 constexpr Duration kRetryAfterStart{1000};
 /// How long a caller waits that does not say so.
-constexpr Duration kDefaultPatience{10'000};
+constexpr Duration kDefaultCallerTimeout{10'000};
 /// After a start, agents need this long at most to link: a failed dial and its
 /// pause, and the worker's next announcement.
 constexpr Duration kLearnWorkers{3000};
@@ -58,10 +58,10 @@
   }
   const bool held = handovers_.contains(id) || AskForHandover(id, now);
   unannounced_.push_back(id);
-  const Duration patience =
-      submission.patience.value_or(kDefaultPatience);
-  scheduler_.Submit(caller, std::move(submission.job), *route, patience, held,
-                    now);
+  const Duration caller_timeout =
+      submission.caller_timeout.value_or(kDefaultCallerTimeout);
+  scheduler_.Submit(caller, std::move(submission.job), *route, caller_timeout,
+                    held, now);
   if (!held) scheduler_.Pump(now);
   CollectActions(now);
 }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -30,7 +30,7 @@
   std::string host;
   std::string path;
   StepJob job;
-  std::optional<Duration> patience;  ///< How long the caller waits.
+  std::optional<Duration> caller_timeout;  ///< How long the caller waits.
 };
 
 /// The decisions of an entry for step jobs: follows the operator's route
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -7,9 +7,9 @@
 namespace geranium {
 namespace {
 
-/// Answers later than this many times the response-time goal are worth nothing
+/// Answers later than this many times the latency objective are worth nothing
 /// to a caller.
-constexpr std::int64_t kWorthlessAfterGoals = 3;
+constexpr std::int64_t kWorthlessAfterObjectives = 3;
 /// When a refused caller may try again: about as long as a full queue takes to
 /// empty.
 constexpr Duration kRetryAfter{1000};
@@ -79,8 +79,8 @@
 }
 
 void StepScheduler::Submit(CallerHandle caller, StepJob spec,
-                           const Route& route, Duration patience, bool held,
-                           TimePoint now) {
+                           const Route& route, Duration caller_timeout,
+                           bool held, TimePoint now) {
   ++counters_.submitted;
   const JobNumber number = next_job_++;
   Job job;
@@ -90,14 +90,16 @@
   job.held = held;
   // Another entry may have started it, so "not run" would not be true.
   job.may_have_run = held;
-  const Duration goal =
+  const Duration objective =
       Duration(static_cast<std::int64_t>(
           static_cast<double>(ChainEstimate(spec).ms()) * route.slack)) +
       route.target_latency;
   const Duration chain = ChainEstimate(spec);
-  job.limit = now + patience;
-  job.latest_start = now + (goal - chain) * options_.wait_percent / 100;
-  job.hopeless = now + std::min(patience, goal * kWorthlessAfterGoals) - chain;
+  job.limit = now + caller_timeout;
+  job.latest_start = now + (objective - chain) * options_.wait_percent / 100;
+  job.start_deadline =
+      now + std::min(caller_timeout, objective * kWorthlessAfterObjectives) -
+      chain;
   const std::string unsupported = Unsupported(spec, route);
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
@@ -253,7 +255,7 @@
   std::vector<JobNumber> expired;
   for (const auto& [number, job] : jobs_) {
     if (job.answered) continue;
-    const TimePoint end = job.may_have_run ? job.limit : job.hopeless;
+    const TimePoint end = job.may_have_run ? job.limit : job.start_deadline;
     if (now >= end) expired.push_back(number);
   }
   for (const JobNumber number : expired) {
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -22,15 +22,16 @@
   Incarnation incarnation;
   DataCentreName data_centre;      ///< The entry's own.
   double cross_rack_factor = 1.5;  ///< Run time away from the data's rack.
-  /// Share (in per cent) of the time to spare within its goal that a job may
-  /// wait before younger jobs go first, and it is refused on arrival. Estimates
-  /// are rough, and a job that starts at the last moment is often late.
+  /// Share (in per cent) of the time to spare within its objective that a job
+  /// may wait before younger jobs go first, and it is refused on arrival.
+  /// Estimates are rough, and a job that starts at the last moment is often
+  /// late.
   std::int64_t wait_percent = 50;
   /// This many urgent tasks may wait for room at a worker, ahead of all others.
   double urgent_ahead = 2;
   /// Share of a worker's processors that is left free for tasks whose data are
   /// in its rack when one from elsewhere is placed there.
-  double home_reserve = 0.2;
+  double local_reserve = 0.2;
 };
 
 /// Counts for metrics.
@@ -42,7 +43,7 @@
   std::uint64_t abandoned = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t orders = 0;
-  std::uint64_t bounced = 0;
+  std::uint64_t returned = 0;
   std::uint64_t stopped = 0;
   std::uint64_t lost = 0;
 };
@@ -64,7 +65,7 @@
 
   /// Admits the job, or answers it at once. While `held`, nothing is ordered.
   void Submit(CallerHandle caller, StepJob job, const Route& route,
-              Duration patience, bool held, TimePoint now);
+              Duration caller_timeout, bool held, TimePoint now);
   /// Nobody waits for the job's answer any more.
   void CallerGone(CallerHandle caller, TimePoint now);
   /// Ends an open job at its caller's wish; false if it is not known.
@@ -129,10 +130,10 @@
     StepJob spec;
     Route route;
     TimePoint submitted;
-    /// Started later than this it misses its response-time goal.
+    /// Started later than this it misses its latency objective.
     TimePoint latest_start;
-    TimePoint hopeless;  ///< Unstarted by then, it cannot be of use.
-    TimePoint limit;     ///< Nobody waits for its answer any more.
+    TimePoint start_deadline;  ///< Unstarted by then, it cannot be of use.
+    TimePoint limit;           ///< Nobody waits for its answer any more.
     std::vector<Step> steps;
     std::size_t waiting = 0;
     std::size_t attempts = 0;  ///< Orders that are not known to have ended.
@@ -143,8 +144,8 @@
     bool may_have_run = false;
   };
 
-  /// A place in the queue: jobs that can meet their goal come first, then the
-  /// more urgent, then the older.
+  /// A place in the queue: jobs that can meet their objective come first, then
+  /// the more urgent, then the older.
   struct Place {
     bool late = false;
     int priority = 0;
@@ -178,7 +179,7 @@
     const Step* state = nullptr;
     std::size_t step_index = 0;
     const std::optional<WorkerId>* avoid = nullptr;
-    bool has_home = false;  ///< A worker in the data's rack takes orders.
+    bool has_local = false;  ///< A worker in the data's rack takes orders.
   };
 
   static Place PlaceOf(const Job& job, JobNumber number) {
@@ -191,12 +192,12 @@
   void Unblock(Job& job);
   bool PlaceTask(JobNumber number, Job& job, std::size_t step, std::size_t task,
                  TimePoint now);
-  bool HasHome(const Need& need, TimePoint now) const;
+  bool HasLocalWorker(const Need& need, TimePoint now) const;
   Worker* ChooseWorker(Need need, TimePoint now);
   bool Suits(const Worker& worker, const Need& need, TimePoint now) const;
   static bool HasLabel(const WorkerCard& card, const std::string& label);
   static bool IsNear(const WorkerCard& card, const StepSpec& step);
-  bool MayTakeStranger(const Worker& worker, const Need& need) const;
+  bool MayPlaceRemote(const Worker& worker, const Need& need) const;
   static double FreeCpu(const Worker& worker, int priority);
   double Cost(const Worker& worker, const Need& need) const;
   bool IsOnProbation(const Worker& worker) const;
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -1,9 +1,9 @@
-#include "entry/step_scheduler.h"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
+#include "entry/step_scheduler.h"
+
 namespace geranium {
 namespace {
 
@@ -92,7 +92,7 @@
   if (!step.required_label.empty() && !HasLabel(card, step.required_label)) {
     return false;
   }
-  if (!IsNear(card, step) && need.has_home && !MayTakeStranger(worker, need)) {
+  if (!IsNear(card, step) && need.has_local && !MayPlaceRemote(worker, need)) {
     return false;
   }
   const int priority = need.job->route.priority;
@@ -119,11 +119,11 @@
 
 // Away from its data a task takes longer, so it would take room from tasks that
 // are at home there and from whose delay it gains nothing.
-bool StepScheduler::MayTakeStranger(const Worker& worker,
-                                    const Need& need) const {
+bool StepScheduler::MayPlaceRemote(const Worker& worker,
+                                   const Need& need) const {
   const double left =
       FreeCpu(worker, need.job->route.priority) - need.step->size.cpu;
-  return left >= options_.home_reserve * worker.card->capacity.cpu;
+  return left >= options_.local_reserve * worker.card->capacity.cpu;
 }
 
 // A slow worker delays every job of which it gets a task.
@@ -160,7 +160,7 @@
 }
 
 // True if a worker in the data's rack takes orders, if perhaps not now.
-bool StepScheduler::HasHome(const Need& need, TimePoint now) const {
+bool StepScheduler::HasLocalWorker(const Need& need, TimePoint now) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& item) {
     const Worker& worker = item.second;
     return worker.link && worker.card && worker.report.accepting &&
@@ -172,7 +172,7 @@
 }
 
 StepScheduler::Worker* StepScheduler::ChooseWorker(Need need, TimePoint now) {
-  need.has_home = !need.step->data_rack.empty() && HasHome(need, now);
+  need.has_local = !need.step->data_rack.empty() && HasLocalWorker(need, now);
   Worker* best = nullptr;
   double best_cost = 0;
   for (auto& [agent, worker] : workers_) {
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -1,9 +1,9 @@
-#include "entry/step_scheduler.h"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
+#include "entry/step_scheduler.h"
+
 namespace geranium {
 namespace {
 
@@ -40,11 +40,11 @@
         break;
       case AttemptEnd::kSuperseded:
         task.run += kRunSkip;
-        ++counters_.bounced;
+        ++counters_.returned;
         ReturnTask(job, attempt.step, task);
         break;
       case AttemptEnd::kNotStarted:
-        ++counters_.bounced;
+        ++counters_.returned;
         ReturnTask(job, attempt.step, task);
         break;
       case AttemptEnd::kStopped:
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -13,14 +13,14 @@
 
 namespace geranium {
 
-/// A backend server's life as its agent knows it; sent when it changes.
+/// A backend server's incarnation as its agent knows it; sent when it changes.
 struct WorkerCard {
   WorkerId id;
   ServiceName service;
   DataCentreName data_centre;
   std::vector<std::string> labels;  ///< Its kind and its rack among them.
   Resources capacity;
-  /// Nothing that an earlier agent or life had started runs any more.
+  /// Nothing that an earlier agent or incarnation had started runs any more.
   bool settled = false;
 
   template <class A>
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -121,10 +121,10 @@
        });
 }
 
-void StepAgentServer::Carry(const HoldRuns& order) {
+void StepAgentServer::Carry(const PollRuns& order) {
   Call(order, [this, number = order.number](const HttpOutcome& outcome,
                                             TimePoint now) {
-    session_.OnHoldEnded(number, platform::ReadHoldOutcome(outcome), now);
+    session_.OnPollEnded(number, platform::ReadPollOutcome(outcome), now);
     session_.AfterEvents(now);
   });
 }
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -41,7 +41,7 @@
   void Carry(const CloseLink& action);
   void Carry(const StartRun& order);
   void Carry(const StopRun& order);
-  void Carry(const HoldRuns& order);
+  void Carry(const PollRuns& order);
   void Carry(const LogNote& note);
   template <class Order, class OnOutcome>
   void Call(const Order& order, OnOutcome on_outcome);
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -26,7 +26,7 @@
                   Count(counts.orders));
   builder.Counter("geranium_step_orders_returned_total",
                   "Orders that came back without a start",
-                  Count(counts.bounced));
+                  Count(counts.returned));
   builder.Counter("geranium_step_runs_stopped_total",
                   "Runs that ended early and are run again",
                   Count(counts.stopped));
@@ -58,7 +58,7 @@
   builder.Counter(ends, help, Count(counts.done), {{"end", "done"}});
   builder.Counter(ends, help, Count(counts.failed), {{"end", "failed"}});
   builder.Counter("geranium_session_returned_total",
-                  "Orders returned without a start", Count(counts.bounced));
+                  "Orders returned without a start", Count(counts.returned));
   builder.Counter("geranium_session_in_doubt_total",
                   "Starts whose answer was lost", Count(counts.in_doubt));
   builder.Counter("geranium_session_stalled_total",
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -26,7 +26,7 @@
 
 // A token from the time of day is above those of earlier agents; where the time
 // of day was set back, the worker's refusal raises it.
-std::uint64_t FirstFence() {
+std::uint64_t FirstFencingToken() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
@@ -85,7 +85,7 @@
   (void)ReadSharedSections(file, settings.entry_addresses, shared);
   BOOST_OUTCOME_TRYV(shared);
   node.incarnation = Incarnation(DrawIncarnation());
-  node.first_fence = FirstFence();
+  node.first_fencing_token = FirstFencingToken();
   return settings;
 }
 
--- a/src/worker/worker_calls.h
+++ b/src/worker/worker_calls.h
@@ -21,9 +21,9 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool draining = false;
-  std::uint64_t sequence = 0;  ///< Rises within one life.
-  std::int64_t clock_ms = 0;   ///< The backend server's own clock.
-  std::uint64_t born_ms = 0;   ///< Tells lives with the same id apart.
+  std::uint64_t sequence = 0;    ///< Rises within one incarnation.
+  std::int64_t clock_ms = 0;     ///< The backend server's own clock.
+  std::uint64_t started_ms = 0;  ///< Tells incarnations with the same id apart.
 };
 
 /// Orders the backend server to start a run.
@@ -32,21 +32,21 @@
   TaskRun run;
   std::string payload;
   std::int64_t lease_until_ms = 0;  ///< On the backend server's clock.
-  std::uint64_t fence = 0;
+  std::uint64_t fencing_token = 0;
 };
 
 struct StopRun {
   WorkerId worker;
   TaskRun run;
-  std::uint64_t fence = 0;
+  std::uint64_t fencing_token = 0;
 };
 
 /// Renews the lease of all that runs, acknowledges ends and asks what runs.
-struct HoldRuns {
+struct PollRuns {
   std::uint64_t number = 0;  ///< Of this call, at the agent.
   WorkerId worker;
   std::optional<std::int64_t> lease_until_ms;  ///< Absent: a look only.
-  std::uint64_t fence = 0;
+  std::uint64_t fencing_token = 0;
   std::uint64_t acknowledged_end = 0;
   Duration wait;  ///< The answer may wait this long for an end.
 };
@@ -58,8 +58,8 @@
   kSuperseded,  ///< It has seen a stop, an end or a higher run of the task.
   kExpired,     ///< The lease had run out when the order arrived.
   kNoRoom,
-  kUnhealthy,  ///< It did nothing and fails.
-  kOtherLife,  ///< The order was for another life of it.
+  kUnhealthy,         ///< It did nothing and fails.
+  kOtherIncarnation,  ///< The order was for another incarnation.
   kMalformed,
   kNoAnswer,  ///< It may have done it, or may yet.
 };
@@ -73,7 +73,7 @@
 enum class RunEnd { kDone, kFailed, kStopped };
 
 struct EndedRun {
-  std::uint64_t number = 0;  ///< Rises within one life.
+  std::uint64_t number = 0;  ///< Rises within one incarnation.
   TaskRun run;
   RunEnd end = RunEnd::kStopped;
 };
@@ -83,10 +83,10 @@
   int percent = 0;
 };
 
-struct HoldOutcome {
+struct PollOutcome {
   OrderReply reply = OrderReply::kNoAnswer;
   std::optional<std::int64_t> clock_ms;
-  std::uint64_t born_ms = 0;
+  std::uint64_t started_ms = 0;
   std::vector<ListedRun> running;
   std::vector<EndedRun> ended;
   std::string message;
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -8,7 +8,7 @@
 
 /// The first raise of a refused fencing token, in milliseconds of the clock
 /// that it was drawn from; doubled with each refusal.
-constexpr std::uint64_t kFirstFenceStep = 16'000;
+constexpr std::uint64_t kFirstTokenStep = 16'000;
 /// Undelivered ends are kept for an entry that is away this long.
 constexpr Duration kKeepEnds{10'000};
 /// Rounding of sums of processor shares.
@@ -18,8 +18,8 @@
 
 WorkerSession::WorkerSession(WorkerSessionOptions options)
     : options_(std::move(options)),
-      fence_(options_.first_fence),
-      fence_step_(kFirstFenceStep) {}
+      fencing_token_(options_.first_fencing_token),
+      fencing_token_step_(kFirstTokenStep) {}
 
 std::vector<SessionAction> WorkerSession::TakeActions() {
   return std::exchange(actions_, {});
@@ -30,27 +30,27 @@
 void WorkerSession::OnAnnouncement(const WorkerAnnouncement& announcement,
                                    TimePoint now) {
   if (worker_ && worker_->id == announcement.id &&
-      worker_->born_ms == announcement.born_ms &&
+      worker_->started_ms == announcement.started_ms &&
       announcement.sequence < worker_->sequence) {
     return;  // Overtaken by a newer one.
   }
-  const bool other_life =
+  const bool is_new =
       !worker_ || worker_->id != announcement.id ||
-      (announcement.born_ms != 0 && announcement.born_ms != born_ms_);
-  // A delayed announcement of an earlier life says nothing of this one.
-  if (worker_ && other_life && announcement.born_ms < born_ms_) return;
+      (announcement.started_ms != 0 && announcement.started_ms != started_ms_);
+  // A delayed announcement of an earlier incarnation says nothing of this one.
+  if (worker_ && is_new && announcement.started_ms < started_ms_) return;
   const bool draining_began =
       announcement.draining && (!worker_ || !worker_->draining);
   worker_ = announcement;
-  if (other_life) {
+  if (is_new) {
     left_ = false;
-    born_ms_ = announcement.born_ms;
+    started_ms_ = announcement.started_ms;
     clock_offset_ms_ = announcement.clock_ms - now.ms();
     Log(LogLevel::kInfo, "worker_registered",
         {{"worker", announcement.id.value()},
          {"service", announcement.service.value()},
-         {"born", std::to_string(announcement.born_ms)}});
-    BeginLife(now);
+         {"started", std::to_string(announcement.started_ms)}});
+    BeginIncarnation(now);
   }
   if (draining_began) {
     Log(LogLevel::kInfo, "worker_draining",
@@ -68,40 +68,41 @@
   ReturnQueued("the worker has left", now);
 }
 
-// Runs of the earlier life have ended with it. An order that was sent to it may
-// still reach the new life, which has seen no token: the raised token, once a
-// hold with it is answered, keeps such an order out.
-void WorkerSession::BeginLife(TimePoint now) {
+// Runs of the earlier incarnation have ended with it. An order that was sent to
+// it may still reach the new one, which has seen no token: the raised token,
+// once a poll with it is answered, keeps such an order out.
+void WorkerSession::BeginIncarnation(TimePoint now) {
   settled_ = false;
   acknowledged_end_ = 0;
-  strangers_.clear();
+  unknown_runs_.clear();
   record_ = RunRecord();
   silent_ = false;
   answered_ = now;
-  ++fence_;
+  ++fencing_token_;
   for (auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kRunning || attempt.state == State::kStarting) {
       attempt.since = now;
     }
   }
-  next_hold_ = now;
+  next_poll_ = now;
 }
 
-void WorkerSession::NoteLife(std::uint64_t born_ms, TimePoint now) {
-  if (born_ms == 0 || born_ms == born_ms_) return;
-  const bool first = born_ms_ == 0;
-  born_ms_ = born_ms;
+void WorkerSession::NoteIncarnation(std::uint64_t started_ms, TimePoint now) {
+  if (started_ms == 0 || started_ms == started_ms_) return;
+  const bool first = started_ms_ == 0;
+  started_ms_ = started_ms;
   if (first) return;
   Log(LogLevel::kWarning, "worker_restarted",
       {{"worker", worker_ ? worker_->id.value() : ""},
-       {"born", std::to_string(born_ms)}});
-  BeginLife(now);
+       {"started", std::to_string(started_ms)}});
+  BeginIncarnation(now);
 }
 
-void WorkerSession::RaiseFence() {
-  fence_ += fence_step_;
-  fence_step_ *= 2;
-  Log(LogLevel::kWarning, "fence_raised", {{"fence", std::to_string(fence_)}});
+void WorkerSession::RaiseFencingToken() {
+  fencing_token_ += fencing_token_step_;
+  fencing_token_step_ *= 2;
+  Log(LogLevel::kWarning, "fencing_token_raised",
+      {{"token", std::to_string(fencing_token_)}});
 }
 
 std::int64_t WorkerSession::LeaseUntil(TimePoint now) const {
@@ -153,7 +154,7 @@
   report_due_ = true;
   const std::string refusal = RefuseOrder(entries_[entry], order, now);
   if (!refusal.empty()) {
-    ++counters_.bounced;
+    ++counters_.returned;
     Tell(entry, TaskEnd{order.attempt, AttemptEnd::kNotStarted, refusal});
     return;
   }
@@ -193,7 +194,7 @@
   ++counters_.starts;
   actions_.emplace_back(StartRun{worker_->id, attempt.order.run,
                                  attempt.order.payload, LeaseUntil(now),
-                                 fence_});
+                                 fencing_token_});
 }
 
 void WorkerSession::OnStartEnded(const TaskRun& run,
@@ -206,7 +207,7 @@
   if (attempt == nullptr || attempt->state != State::kStarting) return;
   const AttemptId id = attempt->order.attempt;
   const auto give_back = [&](AttemptEnd end, const std::string& reason) {
-    ++counters_.bounced;
+    ++counters_.returned;
     End(id, end, reason, now);
   };
   switch (outcome.reply) {
@@ -227,7 +228,7 @@
           {{"task", run.task.value()}, {"message", outcome.message}});
       break;
     case OrderReply::kFenced:
-      // The next hold raises the token, if this was not one of our own older
+      // The next poll raises the token, if this was not one of our own older
       // ones.
       give_back(AttemptEnd::kNotStarted, "fenced");
       break;
@@ -244,8 +245,8 @@
     case OrderReply::kNoRoom:
       give_back(AttemptEnd::kNotStarted, "no room");
       break;
-    case OrderReply::kOtherLife:
-      give_back(AttemptEnd::kNotStarted, "another life of the worker");
+    case OrderReply::kOtherIncarnation:
+      give_back(AttemptEnd::kNotStarted, "another incarnation of the worker");
       break;
     case OrderReply::kMalformed:
       give_back(AttemptEnd::kNotStarted, "refused: " + outcome.message);
@@ -274,7 +275,8 @@
 
 void WorkerSession::SendStop(Attempt& attempt, TimePoint now) {
   attempt.stop_sent = now;
-  actions_.emplace_back(StopRun{worker_->id, attempt.order.run, fence_});
+  actions_.emplace_back(
+      StopRun{worker_->id, attempt.order.run, fencing_token_});
 }
 
 void WorkerSession::OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
@@ -337,7 +339,7 @@
     }
   }
   StartQueued(now);
-  Hold(now);
+  Poll(now);
   CloseSilentLinks(now);
   SendHeartbeats(now);
   SendReports(now);
@@ -361,7 +363,7 @@
     }
   }
   for (const AttemptId& id : expired) {
-    ++counters_.bounced;
+    ++counters_.returned;
     End(id, AttemptEnd::kNotStarted, reason, now);
   }
 }
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -22,13 +22,13 @@
 struct WorkerSessionOptions {
   std::string name;
   Incarnation incarnation;
-  std::uint64_t first_fence = 1;
+  std::uint64_t first_fencing_token = 1;
   Duration longest_lease{1000};
 };
 
 /// What the session's decisions ask of the world.
 using SessionAction = std::variant<SendMessage, ConnectEntry, CloseLink,
-                                   StartRun, StopRun, HoldRuns, LogNote>;
+                                   StartRun, StopRun, PollRuns, LogNote>;
 
 /// Counts for metrics.
 struct SessionCounters {
@@ -37,7 +37,7 @@
   std::uint64_t stops = 0;
   std::uint64_t done = 0;
   std::uint64_t failed = 0;
-  std::uint64_t bounced = 0;  ///< Orders returned without a start.
+  std::uint64_t returned = 0;  ///< Orders returned without a start.
   std::uint64_t in_doubt = 0;
   std::uint64_t stalled = 0;
   std::uint64_t moved = 0;  ///< Stopped to run at a faster worker.
@@ -87,7 +87,7 @@
                     TimePoint now);
   void OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
                    TimePoint now);
-  void OnHoldEnded(std::uint64_t number, const HoldOutcome& outcome,
+  void OnPollEnded(std::uint64_t number, const PollOutcome& outcome,
                    TimePoint now);
 
   void OnLinkUp(LinkId link, TimePoint now);
@@ -95,7 +95,7 @@
   void OnMessage(LinkId link, const Message& message, TimePoint now);
   void OnTick(TimePoint now);
   /// Asks again what runs, as soon as an answer has been taken.
-  void AfterEvents(TimePoint now) { Hold(now); }
+  void AfterEvents(TimePoint now) { Poll(now); }
 
   /// Begins to leave: takes no more orders and lets what runs end.
   void Leave(TimePoint now);
@@ -167,17 +167,17 @@
   void End(const AttemptId& id, AttemptEnd end, const std::string& reason,
            TimePoint now);
   void Tell(Incarnation entry, const TaskEnd& end);
-  void TakeEnds(const HoldOutcome& outcome, TimePoint now);
-  void Compare(const HoldOutcome& outcome, TimePoint sent_at, TimePoint now);
+  void TakeEnds(const PollOutcome& outcome, TimePoint now);
+  void Compare(const PollOutcome& outcome, TimePoint sent_at, TimePoint now);
   void CompareAttempt(Attempt& attempt, const ListedRun* listed,
                       TimePoint sent_at, TimePoint now);
-  void StopStrangers(const HoldOutcome& outcome, TimePoint now);
-  void NoteLife(std::uint64_t born_ms, TimePoint now);
-  void BeginLife(TimePoint now);
-  void RaiseFence();
-  void Hold(TimePoint now);
+  void StopUnknownRuns(const PollOutcome& outcome, TimePoint now);
+  void NoteIncarnation(std::uint64_t started_ms, TimePoint now);
+  void BeginIncarnation(TimePoint now);
+  void RaiseFencingToken();
+  void Poll(TimePoint now);
   void Look(TimePoint now);
-  void SendHold(HoldRuns hold, TimePoint now);
+  void SendPoll(PollRuns poll, TimePoint now);
   void ExpireLease(TimePoint now);
   void ExpireQueued(TimePoint now);
   void ReturnQueued(const std::string& reason, TimePoint now);
@@ -200,24 +200,24 @@
 
   WorkerSessionOptions options_;
   std::optional<WorkerAnnouncement> worker_;
-  std::uint64_t born_ms_ = 0;
+  std::uint64_t started_ms_ = 0;
   std::int64_t clock_offset_ms_ = 0;  ///< Worker's clock less ours, at least.
-  std::uint64_t fence_;
-  std::uint64_t fence_step_;
+  std::uint64_t fencing_token_;
+  std::uint64_t fencing_token_step_;
   std::uint64_t acknowledged_end_ = 0;
   bool settled_ = false;
   bool left_ = false;
   bool leaving_ = false;
-  struct OpenHold {
+  struct OpenPoll {
     TimePoint sent;
-    std::uint64_t fence = 0;
-    bool is_look = false;  ///< Asked besides the waiting hold.
+    std::uint64_t fencing_token = 0;
+    bool is_look = false;  ///< Asked besides the waiting poll.
   };
 
-  std::map<std::uint64_t, OpenHold> open_holds_;
-  std::uint64_t next_hold_number_ = 1;
-  std::uint64_t waiting_hold_ = 0;  ///< The one that renews; 0: none.
-  TimePoint next_hold_;
+  std::map<std::uint64_t, OpenPoll> open_polls_;
+  std::uint64_t next_poll_number_ = 1;
+  std::uint64_t waiting_poll_ = 0;  ///< The one that renews; 0: none.
+  TimePoint next_poll_;
   TimePoint answered_ = TimePoint::Never();
   TimePoint lost_answer_ = TimePoint::Never();
   TimePoint lease_end_ = TimePoint::Never();
@@ -225,7 +225,7 @@
   std::map<AttemptId, Attempt> attempts_;
   std::map<TaskRun, AttemptId> by_run_;
   std::map<TaskName, std::size_t> by_task_;
-  std::map<TaskRun, TimePoint> strangers_;  ///< When a stop was last sent.
+  std::map<TaskRun, TimePoint> unknown_runs_;  ///< When a stop was last sent.
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, Entry> entries_;
   std::set<std::string> known_entries_;
--- a/src/worker/worker_session_holds.cc
+++ b/src/worker/worker_session_polls.cc
@@ -6,9 +6,9 @@
 namespace geranium {
 namespace {
 
-/// Wait of a hold while something runs, so that progress is seen in time.
+/// Wait of a poll while something runs, so that progress is seen in time.
 constexpr Duration kBusyWait{80};
-/// Wait of a hold after one was lost: while answers get lost, a short wait
+/// Wait of a poll after one was lost: while answers get lost, a short wait
 /// keeps the time short in which ends go unseen.
 constexpr Duration kLossyWait{20};
 /// How long after a lost answer more losses are expected.
@@ -17,8 +17,8 @@
 constexpr Duration kIdleWait{300};
 /// Wait while an order is in doubt.
 constexpr Duration kDoubtWait{20};
-/// Pause after a hold that failed.
-constexpr Duration kHoldRetry{30};
+/// Pause after a poll that failed.
+constexpr Duration kPollRetry{30};
 /// A run whose share done has not risen for this long, and for `kStallShare`
 /// tenths of its estimate, stands still. A run that is ten times slow still
 /// rises by one per cent within a tenth of its estimate.
@@ -38,85 +38,87 @@
 
 }  // namespace
 
-void WorkerSession::Hold(TimePoint now) {
-  if (!worker_ || waiting_hold_ != 0 || now < next_hold_) return;
-  HoldRuns hold;
+void WorkerSession::Poll(TimePoint now) {
+  if (!worker_ || waiting_poll_ != 0 || now < next_poll_) return;
+  PollRuns poll;
   if (now - answered_ < kWorkerSilence) {
-    hold.lease_until_ms = LeaseUntil(now);
+    poll.lease_until_ms = LeaseUntil(now);
     lease_end_ = std::max(lease_end_, now + kLease);
   }
-  hold.wait = kIdleWait;
+  poll.wait = kIdleWait;
   for (const auto& [id, attempt] : attempts_) {
     const bool unclear =
         attempt.state == State::kInDoubt || attempt.state == State::kStopping;
-    if (unclear) hold.wait = kDoubtWait;
+    if (unclear) poll.wait = kDoubtWait;
     if (attempt.state != State::kQueued) {
-      hold.wait = std::min(hold.wait, kBusyWait);
+      poll.wait = std::min(poll.wait, kBusyWait);
     }
   }
   if (now - lost_answer_ < kLossyPeriod) {
-    hold.wait = std::min(hold.wait, kLossyWait);
+    poll.wait = std::min(poll.wait, kLossyWait);
   }
-  if (!settled_) hold.wait = Duration(0);
-  waiting_hold_ = next_hold_number_;
-  SendHold(std::move(hold), now);
+  if (!settled_) poll.wait = Duration(0);
+  waiting_poll_ = next_poll_number_;
+  SendPoll(std::move(poll), now);
 }
 
-// The waiting hold may be answered only when it has waited; what is being
+// The waiting poll may be answered only when it has waited; what is being
 // settled is asked for at once.
 void WorkerSession::Look(TimePoint now) {
-  SendHold(HoldRuns{}, now);
-  open_holds_.rbegin()->second.is_look = true;
+  SendPoll(PollRuns{}, now);
+  open_polls_.rbegin()->second.is_look = true;
 }
 
-void WorkerSession::SendHold(HoldRuns hold, TimePoint now) {
-  hold.number = next_hold_number_++;
-  hold.worker = worker_->id;
-  hold.fence = fence_;
-  hold.acknowledged_end = acknowledged_end_;
-  open_holds_[hold.number] = OpenHold{now, fence_, false};
-  actions_.emplace_back(std::move(hold));
+void WorkerSession::SendPoll(PollRuns poll, TimePoint now) {
+  poll.number = next_poll_number_++;
+  poll.worker = worker_->id;
+  poll.fencing_token = fencing_token_;
+  poll.acknowledged_end = acknowledged_end_;
+  open_polls_[poll.number] = OpenPoll{now, fencing_token_, false};
+  actions_.emplace_back(std::move(poll));
 }
 
-void WorkerSession::OnHoldEnded(std::uint64_t number,
-                                const HoldOutcome& outcome, TimePoint now) {
-  const auto found = open_holds_.find(number);
-  if (found == open_holds_.end()) return;
-  const OpenHold hold = found->second;
-  open_holds_.erase(found);
-  if (!hold.is_look) waiting_hold_ = 0;
+void WorkerSession::OnPollEnded(std::uint64_t number,
+                                const PollOutcome& outcome, TimePoint now) {
+  const auto found = open_polls_.find(number);
+  if (found == open_polls_.end()) return;
+  const OpenPoll poll = found->second;
+  open_polls_.erase(found);
+  if (!poll.is_look) waiting_poll_ = 0;
   if (outcome.reply != OrderReply::kAccepted) {
     const bool lost = outcome.reply == OrderReply::kNoAnswer;
     if (lost) lost_answer_ = now;
-    next_hold_ =
-        lost && now - answered_ < kWorkerSilence ? now : now + kHoldRetry;
-    if (outcome.reply == OrderReply::kFenced && hold.fence == fence_) {
-      RaiseFence();
+    next_poll_ =
+        lost && now - answered_ < kWorkerSilence ? now : now + kPollRetry;
+    if (outcome.reply == OrderReply::kFenced &&
+        poll.fencing_token == fencing_token_) {
+      RaiseFencingToken();
     }
     return;
   }
   answered_ = now;
-  if (!hold.is_look) next_hold_ = now;
+  if (!poll.is_look) next_poll_ = now;
   if (outcome.clock_ms) clock_offset_ms_ = *outcome.clock_ms - now.ms();
   if (silent_) {
     silent_ = false;
     Log(LogLevel::kInfo, "worker_answers_again", {});
   }
-  NoteLife(outcome.born_ms, now);
-  if (hold.fence != fence_) return;  // Says nothing of the present token.
+  NoteIncarnation(outcome.started_ms, now);
+  if (poll.fencing_token != fencing_token_)
+    return;  // Says nothing of the present token.
   TakeEnds(outcome, now);
-  Compare(outcome, hold.sent, now);
-  StopStrangers(outcome, now);
+  Compare(outcome, poll.sent, now);
+  StopUnknownRuns(outcome, now);
   MeasureRuns(now);
   StopStalled(now);
   StartQueued(now);
 }
 
-void WorkerSession::TakeEnds(const HoldOutcome& outcome, TimePoint now) {
+void WorkerSession::TakeEnds(const PollOutcome& outcome, TimePoint now) {
   for (const EndedRun& ended : outcome.ended) {
     if (ended.number <= acknowledged_end_) continue;
     acknowledged_end_ = ended.number;
-    strangers_.erase(ended.run);
+    unknown_runs_.erase(ended.run);
     Attempt* attempt = FindByRun(ended.run);
     if (attempt == nullptr) continue;
     const AttemptId id = attempt->order.attempt;
@@ -145,7 +147,7 @@
   }
 }
 
-void WorkerSession::Compare(const HoldOutcome& outcome, TimePoint sent_at,
+void WorkerSession::Compare(const PollOutcome& outcome, TimePoint sent_at,
                             TimePoint now) {
   std::map<TaskRun, const ListedRun*> listed;
   for (const ListedRun& run : outcome.running) listed[run.run] = &run;
@@ -197,13 +199,13 @@
 // Runs that an earlier agent started, or orders that were carried out after
 // they had been given up. Their size is not known, so nothing is started
 // beside them.
-void WorkerSession::StopStrangers(const HoldOutcome& outcome, TimePoint now) {
+void WorkerSession::StopUnknownRuns(const PollOutcome& outcome, TimePoint now) {
   std::set<TaskRun> seen;
   for (const ListedRun& listed : outcome.running) {
     if (by_run_.contains(listed.run)) continue;
     seen.insert(listed.run);
     const auto [found, is_new] =
-        strangers_.try_emplace(listed.run, TimePoint::Never());
+        unknown_runs_.try_emplace(listed.run, TimePoint::Never());
     if (is_new) {
       Log(LogLevel::kWarning, "stopping_unknown_run",
           {{"task", listed.run.task.value()},
@@ -211,12 +213,12 @@
     }
     if (now - found->second <= kStopRetry) continue;
     found->second = now;
-    actions_.emplace_back(StopRun{worker_->id, listed.run, fence_});
+    actions_.emplace_back(StopRun{worker_->id, listed.run, fencing_token_});
   }
-  std::erase_if(strangers_, [&](const auto& stranger) {
-    return !seen.contains(stranger.first);
+  std::erase_if(unknown_runs_, [&](const auto& unknown) {
+    return !seen.contains(unknown.first);
   });
-  const bool settled = strangers_.empty();
+  const bool settled = unknown_runs_.empty();
   if (settled != settled_) report_due_ = true;
   settled_ = settled;
 }
@@ -235,7 +237,7 @@
   const Duration slack = kLease * kClockSlack / 100 + kLeaseMargin;
   if (now < lease_end_ + slack) return;
   // Everything there has lapsed. A run that shows up later all the same is
-  // stopped as a stranger, before anything else is started.
+  // stopped as unknown, before anything else is started.
   settled_ = false;
   std::vector<AttemptId> ids;
   for (const auto& [id, attempt] : attempts_) {
--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -76,7 +76,7 @@
     self.data_centre = DataCentreName(index % 2 == 0 ? "north" : "south");
     self.labels = {"a", "r" + std::to_string(index)};
     self.capacity = Resources{8, 4096, 0};
-    self.born_ms = 1000 + index;
+    self.started_ms = 1000 + index;
     place.agent = agent;
     place.worker = std::make_unique<SizedWorker>(
         self, [this](const TaskName& name) { return truths_[name]; });
@@ -105,7 +105,7 @@
           {"seq", self.sequence},
           {"labels", self.labels},
           {"clock-ms", self.clock_ms},
-          {"born", self.born_ms},
+          {"born", self.started_ms},
           {"capacity",
            {{"cpu", self.capacity.cpu * 1000},
             {"mem-mb", self.capacity.memory_mb},
@@ -133,7 +133,7 @@
       return;
     }
     if (path == "/-/hold") {
-      Hold(place, exchange, body,
+      Poll(place, exchange, body,
            clock_.Now() + Duration(body.value("wait-ms", 0)));
       return;
     }
@@ -144,10 +144,10 @@
                         const Json& body) {
     const TaskRun run{TaskName(body.at("task").get<std::string>()),
                       body.at("run").get<std::uint64_t>()};
-    const auto fence = body.at("fencing-token").get<std::uint64_t>();
+    const auto fencing_token = body.at("fencing-token").get<std::uint64_t>();
     const WorkerId self = place.worker->self().id;
     if (path == "/-/run-stop") {
-      return place.worker->Stop({self, run, fence}, clock_.Now());
+      return place.worker->Stop({self, run, fencing_token}, clock_.Now());
     }
     const Json spec =
         Json::parse(body.at("spec").get<std::string>(), nullptr, false);
@@ -156,7 +156,8 @@
     truth.size.cpu = spec.is_object() ? spec.value("cpu", 1.0) : 1.0;
     truths_[run.task] = truth;
     const OrderOutcome outcome = place.worker->Start(
-        {self, run, "", body.at("deadline-ms").get<std::int64_t>(), fence},
+        {self, run, "", body.at("deadline-ms").get<std::int64_t>(),
+         fencing_token},
         clock_.Now());
     if (outcome.reply == OrderReply::kAccepted) Judge(run);
     return outcome;
@@ -201,7 +202,7 @@
     return JsonResponse(409, body);
   }
 
-  void Hold(Place& place, const ExchangePtr& exchange, const Json& body,
+  void Poll(Place& place, const ExchangePtr& exchange, const Json& body,
             TimePoint until) {
     const auto acknowledged = body.value("acked-through", std::uint64_t{0});
     const TimePoint now = clock_.Now();
@@ -210,19 +211,19 @@
       auto timer = std::make_shared<Timer>(io_, kStep);
       timer->async_wait(
           [this, timer, &place, exchange, body, until](const auto& error) {
-            if (!error) Hold(place, exchange, body, until);
+            if (!error) Poll(place, exchange, body, until);
           });
       return;
     }
     if (place.down) return;
-    HoldRuns order;
+    PollRuns order;
     order.worker = place.worker->self().id;
-    order.fence = body.at("fencing-token").get<std::uint64_t>();
+    order.fencing_token = body.at("fencing-token").get<std::uint64_t>();
     order.acknowledged_end = acknowledged;
     if (body.contains("deadline-ms")) {
       order.lease_until_ms = body.at("deadline-ms").get<std::int64_t>();
     }
-    const HoldOutcome outcome = place.worker->Hold(order, now);
+    const PollOutcome outcome = place.worker->Poll(order, now);
     if (outcome.reply != OrderReply::kAccepted) {
       exchange->Reply(ToResponse({outcome.reply, outcome.clock_ms, ""}));
       return;
@@ -240,7 +241,7 @@
           {run.number, run.run.task.value(), run.run.run, how, ""});
     }
     exchange->Reply(JsonResponse(200, {{"clock-ms", *outcome.clock_ms},
-                                       {"born", outcome.born_ms},
+                                       {"born", outcome.started_ms},
                                        {"running", running},
                                        {"finished", finished}}));
   }
--- a/standins/sized_worker.cc
+++ b/standins/sized_worker.cc
@@ -23,8 +23,8 @@
   OrderOutcome outcome;
   outcome.clock_ms = ClockMs(now);
   if (order.worker != self_.id) {
-    outcome.reply = OrderReply::kOtherLife;
-  } else if (order.fence < fence_) {
+    outcome.reply = OrderReply::kOtherIncarnation;
+  } else if (order.fencing_token < fencing_token_) {
     outcome.reply = OrderReply::kFenced;
   } else if (order.lease_until_ms <= ClockMs(now)) {
     outcome.reply = OrderReply::kExpired;
@@ -35,9 +35,9 @@
     outcome.reply = OrderReply::kAccepted;
     running_.try_emplace(order.run, Running{find_truth_(order.run.task), 0});
   }
-  if (outcome.reply != OrderReply::kOtherLife &&
+  if (outcome.reply != OrderReply::kOtherIncarnation &&
       outcome.reply != OrderReply::kFenced) {
-    fence_ = std::max(fence_, order.fence);
+    fencing_token_ = std::max(fencing_token_, order.fencing_token);
     lease_until_ms_ = std::max(
         lease_until_ms_,
         std::min(order.lease_until_ms, ClockMs(now) + kLongestLeaseMs));
@@ -50,14 +50,14 @@
   OrderOutcome outcome;
   outcome.clock_ms = ClockMs(now);
   if (order.worker != self_.id) {
-    outcome.reply = OrderReply::kOtherLife;
+    outcome.reply = OrderReply::kOtherIncarnation;
     return outcome;
   }
-  if (order.fence < fence_) {
+  if (order.fencing_token < fencing_token_) {
     outcome.reply = OrderReply::kFenced;
     return outcome;
   }
-  fence_ = order.fence;
+  fencing_token_ = order.fencing_token;
   outcome.reply = OrderReply::kAccepted;
   if (running_.contains(order.run)) End(order.run, RunEnd::kStopped);
   std::uint64_t& highest = highest_ended_[order.run.task];
@@ -65,20 +65,20 @@
   return outcome;
 }
 
-HoldOutcome SizedWorker::Hold(const HoldRuns& order, TimePoint now) {
+PollOutcome SizedWorker::Poll(const PollRuns& order, TimePoint now) {
   Advance(now);
-  HoldOutcome outcome;
+  PollOutcome outcome;
   outcome.clock_ms = ClockMs(now);
-  outcome.born_ms = self_.born_ms;
+  outcome.started_ms = self_.started_ms;
   if (order.worker != self_.id) {
-    outcome.reply = OrderReply::kOtherLife;
+    outcome.reply = OrderReply::kOtherIncarnation;
     return outcome;
   }
-  if (order.fence < fence_) {
+  if (order.fencing_token < fencing_token_) {
     outcome.reply = OrderReply::kFenced;
     return outcome;
   }
-  fence_ = order.fence;
+  fencing_token_ = order.fencing_token;
   outcome.reply = OrderReply::kAccepted;
   if (order.lease_until_ms) {
     lease_until_ms_ = std::max(
@@ -134,12 +134,12 @@
   highest_ended_.clear();
   ended_.clear();
   next_end_ = 1;
-  fence_ = 0;
+  fencing_token_ = 0;
   lease_until_ms_ = 0;
   life_began_ = now;
   advanced_ = now;
   self_.sequence = 0;
-  self_.born_ms += static_cast<std::uint64_t>(now.ms()) + 1;
+  self_.started_ms += static_cast<std::uint64_t>(now.ms()) + 1;
 }
 
 WorkerAnnouncement SizedWorker::Announce(TimePoint now) {
--- a/standins/sized_worker.h
+++ b/standins/sized_worker.h
@@ -44,7 +44,7 @@
   OrderOutcome Start(const StartRun& order, TimePoint now);
   OrderOutcome Stop(const StopRun& order, TimePoint now);
   /// The listing at this moment.
-  HoldOutcome Hold(const HoldRuns& order, TimePoint now);
+  PollOutcome Poll(const PollRuns& order, TimePoint now);
   /// True if an end is listed beyond the one that is acknowledged.
   bool HasEnd(std::uint64_t acknowledged) const;
   void Advance(TimePoint now);
@@ -74,7 +74,7 @@
   WorkerFaults faults_;
   TimePoint life_began_;
   TimePoint advanced_;
-  std::uint64_t fence_ = 0;
+  std::uint64_t fencing_token_ = 0;
   std::int64_t lease_until_ms_ = 0;
   std::map<TaskRun, Running> running_;
   std::map<TaskName, std::uint64_t> highest_ended_;
--- a/standins/step_world.cc
+++ b/standins/step_world.cc
@@ -62,7 +62,7 @@
     self.labels = {"a",
                    "rack-" + std::to_string(i / options_.workers_per_rack)};
     self.capacity = options_.worker_size;
-    self.born_ms = std::uint64_t{1000} + static_cast<std::uint64_t>(i);
+    self.started_ms = std::uint64_t{1000} + static_cast<std::uint64_t>(i);
     agent->worker =
         std::make_unique<SizedWorker>(self, [this](const TaskName& name) {
           const auto found = truths_.find(name.value());
@@ -124,7 +124,7 @@
   step.estimate = Duration(std::max<std::int64_t>(
       1, std::lround(LogNormal(random_, work, kind.spread))));
   step.data_rack = rack;
-  const bool hopeless = random_.Chance(kind.hopeless_jobs);
+  const bool hopeless = random_.Chance(kind.failing_jobs);
   job->hopeless = hopeless;
   double longest = 0;
   for (std::uint32_t t = 0; t < step.count; ++t) {
@@ -137,7 +137,8 @@
     truth.fails = hopeless;
     truths_[std::string(id) + ".0.0." + std::to_string(t)] = truth;
   }
-  job->goal = Duration(std::lround(kind.slack * longest)) + kind.target_latency;
+  job->objective =
+      Duration(std::lround(kind.slack * longest)) + kind.target_latency;
   job->spec.steps.push_back(step);
   jobs_.push_back(std::move(job));
   SendJob(number, entry);
@@ -170,7 +171,7 @@
     submission.host = kHost;
     submission.path = "/" + sent.kind.name + "/" + sent.spec.id.value();
     submission.job = sent.spec;
-    submission.patience = options_.patience;
+    submission.caller_timeout = options_.caller_timeout;
     entry.node->OnSubmission(caller, std::move(submission), now_);
     DrainEntry(index);
   });
@@ -302,9 +303,9 @@
     ++report.asked;
     if (job->completed) {
       const Duration took = *job->completed - job->asked;
-      if (took <= job->goal) {
-        ++report.in_goal;
-      } else if (took <= job->goal * 3) {
+      if (took <= job->objective) {
+        ++report.in_objective;
+      } else if (took <= job->objective * 3) {
         ++report.late;
       } else {
         ++report.useless;
--- a/standins/step_world.h
+++ b/standins/step_world.h
@@ -27,7 +27,7 @@
   double cpu = 3.1;
   double spread = 0.4;       ///< Of width, work and estimate.
   double failing_tasks = 0;  ///< Share of runs that fail by themselves.
-  double hopeless_jobs = 0;  ///< Share of jobs whose tasks always fail.
+  double failing_jobs = 0;   ///< Share of jobs whose tasks always fail.
   double with_rack = 0;      ///< Share of jobs that want one rack.
   bool same_rack = false;    ///< All of these want the first one.
   Duration target_latency{60};
@@ -47,25 +47,27 @@
   StepSchedulerOptions scheduler;  ///< Its names are set for each entry.
   Duration caller_delay{3};
   Duration link_delay{1};
-  Duration resend{1300};    ///< After a broken connection.
-  Duration patience{5000};  ///< After which a caller leaves.
+  Duration resend{1300};          ///< After a broken connection.
+  Duration caller_timeout{5000};  ///< After which a caller leaves.
 };
 
 /// What callers of one kind got.
 struct ClassReport {
   int asked = 0;
-  int in_goal = 0;
-  int late = 0;     ///< Within three times the goal.
+  int in_objective = 0;
+  int late = 0;     ///< Within three times the objective.
   int useless = 0;  ///< Completed later still.
   int refused = 0;
   int failed = 0;
   int left = 0;
   double refused_wait_ms = 0;  ///< Summed over the refused.
 
-  double InGoal() const { return asked == 0 ? 1 : 1.0 * in_goal / asked; }
+  double InObjective() const {
+    return asked == 0 ? 1 : 1.0 * in_objective / asked;
+  }
   /// Worth as the users count it: late answers a fifth.
   double Worth() const {
-    return asked == 0 ? 1 : (in_goal + 0.2 * late) / asked;
+    return asked == 0 ? 1 : (in_objective + 0.2 * late) / asked;
   }
 };
 
@@ -139,7 +141,7 @@
   void DrainEntry(int index);
   template <class Order>
   void CallWorker(int index, const Order& order);
-  void AnswerHold(int index, std::uint64_t life, const HoldRuns& order,
+  void AnswerPoll(int index, std::uint64_t incarnation, const PollRuns& order,
                   TimePoint until);
   void TakeAnswer(int entry, const AnswerStepJob& answer);
   void SendJob(int job, int entry);
--- a/standins/step_world_calls.cc
+++ b/standins/step_world_calls.cc
@@ -26,8 +26,8 @@
       CallWorker(index, *start);
     } else if (auto* stop = std::get_if<StopRun>(&action)) {
       CallWorker(index, *stop);
-    } else if (auto* hold = std::get_if<HoldRuns>(&action)) {
-      AnswerHold(index, agent.life, *hold, now_ + hold->wait);
+    } else if (auto* poll = std::get_if<PollRuns>(&action)) {
+      AnswerPoll(index, agent.incarnation, *poll, now_ + poll->wait);
     } else if (auto* close = std::get_if<CloseLink>(&action)) {
       At(now_, [this, link = close->link] { Break(link); });
     } else if (auto* note = std::get_if<LogNote>(&action)) {
@@ -41,7 +41,7 @@
 template <class Order>
 void StepWorld::CallWorker(int index, const Order& order) {
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
-  const std::uint64_t life = agent.life;
+  const std::uint64_t incarnation = agent.incarnation;
   const auto carry_out = [this, index, order]() {
     Agent& there = *agents_[static_cast<std::size_t>(index)];
     if constexpr (std::is_same_v<Order, StartRun>) {
@@ -53,9 +53,10 @@
       return there.worker->Stop(order, now_);
     }
   };
-  const auto answer = [this, index, life, order](const OrderOutcome& outcome) {
+  const auto answer = [this, index, incarnation,
+                       order](const OrderOutcome& outcome) {
     Agent& there = *agents_[static_cast<std::size_t>(index)];
-    if (!there.alive || there.life != life) return;
+    if (!there.alive || there.incarnation != incarnation) return;
     if constexpr (std::is_same_v<Order, StartRun>) {
       there.session->OnStartEnded(order.run, outcome, now_);
     } else {
@@ -80,35 +81,36 @@
   });
 }
 
-void StepWorld::AnswerHold(int index, std::uint64_t life, const HoldRuns& order,
-                           TimePoint until) {
+void StepWorld::AnswerPoll(int index, std::uint64_t incarnation,
+                           const PollRuns& order, TimePoint until) {
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
-  if (agent.life != life || !agent.alive) return;
+  if (agent.incarnation != incarnation || !agent.alive) return;
   const bool lost = !agent.worker_alive || agent.worker->faults().silent ||
                     random_.Chance(agent.worker->faults().unanswered / 20);
   if (lost) {
-    At(until + kOrderTimeout, [this, index, life, number = order.number] {
-      Agent& there = *agents_[static_cast<std::size_t>(index)];
-      if (!there.alive || there.life != life) return;
-      there.session->OnHoldEnded(number, HoldOutcome{}, now_);
-      there.session->AfterEvents(now_);
-      DrainAgent(index);
-    });
+    At(until + kOrderTimeout,
+       [this, index, incarnation, number = order.number] {
+         Agent& there = *agents_[static_cast<std::size_t>(index)];
+         if (!there.alive || there.incarnation != incarnation) return;
+         there.session->OnPollEnded(number, PollOutcome{}, now_);
+         there.session->AfterEvents(now_);
+         DrainAgent(index);
+       });
     return;
   }
   agent.worker->Advance(now_);
   if (now_ < until && !agent.worker->HasEnd(order.acknowledged_end)) {
-    At(now_ + Duration(2), [this, index, life, order, until] {
-      AnswerHold(index, life, order, until);
+    At(now_ + Duration(2), [this, index, incarnation, order, until] {
+      AnswerPoll(index, incarnation, order, until);
     });
     return;
   }
-  const HoldOutcome outcome = agent.worker->Hold(order, now_);
+  const PollOutcome outcome = agent.worker->Poll(order, now_);
   At(std::max(now_ + kCallDelay, agent.frozen_until),
-     [this, index, life, outcome, number = order.number] {
+     [this, index, incarnation, outcome, number = order.number] {
        Agent& there = *agents_[static_cast<std::size_t>(index)];
-       if (!there.alive || there.life != life) return;
-       there.session->OnHoldEnded(number, outcome, now_);
+       if (!there.alive || there.incarnation != incarnation) return;
+       there.session->OnPollEnded(number, outcome, now_);
        there.session->AfterEvents(now_);
        DrainAgent(index);
      });
--- a/standins/step_world_links.cc
+++ b/standins/step_world_links.cc
@@ -23,7 +23,7 @@
   options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
   entry.node = std::make_unique<StepEntryNode>(options);
   entry.alive = true;
-  ++entry.life;
+  ++entry.incarnation;
   entry.callers.clear();
   entry.node->OnRouteTable(MakeTable(), "operator", now_);
   for (int i = 0; i < options_.entries; ++i) {
@@ -36,10 +36,10 @@
   WorkerSessionOptions options;
   options.name = agent.name;
   options.incarnation = Incarnation(next_incarnation_++);
-  options.first_fence = static_cast<std::uint64_t>(now_.ms());
+  options.first_fencing_token = static_cast<std::uint64_t>(now_.ms());
   agent.session = std::make_unique<WorkerSession>(options);
   agent.alive = true;
-  ++agent.life;
+  ++agent.incarnation;
   agent.next_announce = now_;
   for (int i = 0; i < options_.entries; ++i) Dial(index, i);
 }
@@ -51,21 +51,23 @@
 void StepWorld::Dial(int index, int entry_index) {
   const Agent& agent = *agents_[static_cast<std::size_t>(index)];
   const Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
-  const std::uint64_t life = agent.life;
+  const std::uint64_t incarnation = agent.incarnation;
   const bool reachable = agent.alive && entry.alive &&
                          now_ >= entry.frozen_until &&
                          now_ >= agent.frozen_until &&
                          !Blocked(options_.entries + index, entry_index);
   if (!reachable) {
-    At(now_ + kRedial, [this, index, entry_index, life] {
-      if (agents_[static_cast<std::size_t>(index)]->life == life) {
+    At(now_ + kRedial, [this, index, entry_index, incarnation] {
+      if (agents_[static_cast<std::size_t>(index)]->incarnation ==
+          incarnation) {
         Dial(index, entry_index);
       }
     });
     return;
   }
   const LinkId link(next_link_++);
-  wires_[link] = Wire{index, -1, entry_index, agent.life, entry.life};
+  wires_[link] =
+      Wire{index, -1, entry_index, agent.incarnation, entry.incarnation};
   agent.session->OnLinkUp(link, now_);
   entry.node->OnLinkUp(link, now_);
   DrainAgent(index);
@@ -75,17 +77,18 @@
 void StepWorld::DialEntry(int from, int to) {
   const Entry& first = *entries_[static_cast<std::size_t>(from)];
   const Entry& second = *entries_[static_cast<std::size_t>(to)];
-  const std::uint64_t life = first.life;
+  const std::uint64_t incarnation = first.incarnation;
   if (!first.alive || !second.alive || Blocked(from, to)) {
-    At(now_ + kRedial, [this, from, to, life] {
-      if (entries_[static_cast<std::size_t>(from)]->life == life) {
+    At(now_ + kRedial, [this, from, to, incarnation] {
+      if (entries_[static_cast<std::size_t>(from)]->incarnation ==
+          incarnation) {
         DialEntry(from, to);
       }
     });
     return;
   }
   const LinkId link(next_link_++);
-  wires_[link] = Wire{-1, from, to, first.life, second.life};
+  wires_[link] = Wire{-1, from, to, first.incarnation, second.incarnation};
   first.node->OnLinkUp(link, now_);
   second.node->OnLinkUp(link, now_);
   DrainEntry(from);
@@ -98,15 +101,16 @@
   const Wire wire = found->second;
   wires_.erase(found);
   Entry& entry = *entries_[static_cast<std::size_t>(wire.entry)];
-  if (entry.alive && entry.life == wire.entry_life) {
+  if (entry.alive && entry.incarnation == wire.entry_incarnation) {
     entry.node->OnLinkDown(link, now_);
   }
   if (wire.agent >= 0) {
     Agent& agent = *agents_[static_cast<std::size_t>(wire.agent)];
-    if (agent.alive && agent.life == wire.first_life) {
+    if (agent.alive && agent.incarnation == wire.first_incarnation) {
       agent.session->OnLinkDown(link, now_);
-      At(now_ + kRedial, [this, wire, life = agent.life] {
-        if (agents_[static_cast<std::size_t>(wire.agent)]->life == life) {
+      At(now_ + kRedial, [this, wire, incarnation = agent.incarnation] {
+        if (agents_[static_cast<std::size_t>(wire.agent)]->incarnation ==
+            incarnation) {
           Dial(wire.agent, wire.entry);
         }
       });
@@ -114,10 +118,11 @@
     return;
   }
   Entry& first = *entries_[static_cast<std::size_t>(wire.first_entry)];
-  if (!first.alive || first.life != wire.first_life) return;
+  if (!first.alive || first.incarnation != wire.first_incarnation) return;
   first.node->OnLinkDown(link, now_);
-  At(now_ + kRedial, [this, wire, life = first.life] {
-    if (entries_[static_cast<std::size_t>(wire.first_entry)]->life == life) {
+  At(now_ + kRedial, [this, wire, incarnation = first.incarnation] {
+    if (entries_[static_cast<std::size_t>(wire.first_entry)]->incarnation ==
+        incarnation) {
       DialEntry(wire.first_entry, wire.entry);
     }
   });
@@ -138,7 +143,7 @@
   const int entry_index = to_second ? wire.entry : wire.first_entry;
   if (!to_second && wire.agent >= 0) {
     Agent& agent = *agents_[static_cast<std::size_t>(wire.agent)];
-    if (!agent.alive || agent.life != wire.first_life) return;
+    if (!agent.alive || agent.incarnation != wire.first_incarnation) return;
     if (now_ < agent.frozen_until) {
       At(agent.frozen_until, [this, link, to_second, message] {
         Deliver(link, to_second, message);
@@ -150,8 +155,9 @@
     return;
   }
   Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
-  const std::uint64_t life = to_second ? wire.entry_life : wire.first_life;
-  if (!entry.alive || entry.life != life) return;
+  const std::uint64_t incarnation =
+      to_second ? wire.entry_incarnation : wire.first_incarnation;
+  if (!entry.alive || entry.incarnation != incarnation) return;
   if (now_ < entry.frozen_until) {
     At(entry.frozen_until,
        [this, link, to_second, message] { Deliver(link, to_second, message); });
@@ -169,7 +175,8 @@
       const auto wire = wires_.find(send->link);
       if (wire == wires_.end()) continue;
       const bool to_second =
-          wire->second.entry != index || wire->second.entry_life != entry.life;
+          wire->second.entry != index ||
+          wire->second.entry_incarnation != entry.incarnation;
       At(now_ + options_.link_delay,
          [this, link = send->link, to_second, message = send->message] {
            Deliver(link, to_second, message);
--- a/standins/step_world_parts.h
+++ b/standins/step_world_parts.h
@@ -21,7 +21,7 @@
   std::string name;
   std::unique_ptr<SizedWorker> worker;
   std::unique_ptr<WorkerSession> session;
-  std::uint64_t life = 0;
+  std::uint64_t incarnation = 0;
   std::uint64_t worker_life = 0;
   bool alive = false;
   bool worker_alive = true;
@@ -32,7 +32,7 @@
 
 struct StepWorld::Entry {
   std::unique_ptr<StepEntryNode> node;
-  std::uint64_t life = 0;
+  std::uint64_t incarnation = 0;
   bool alive = false;
   TimePoint frozen_until = TimePoint::Never();
   TimePoint next_tick;
@@ -43,7 +43,7 @@
   LoadClass kind;
   StepJob spec;
   TimePoint asked;
-  Duration goal;
+  Duration objective;
   int entry = -1;
   std::uint64_t attempt = 0;
   bool resends = true;
@@ -60,8 +60,8 @@
   int agent = -1;  ///< The first end; -1 if it is an entry.
   int first_entry = -1;
   int entry = -1;  ///< The second end.
-  std::uint64_t first_life = 0;
-  std::uint64_t entry_life = 0;
+  std::uint64_t first_incarnation = 0;
+  std::uint64_t entry_incarnation = 0;
 };
 
 }  // namespace geranium::standins
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -60,7 +60,7 @@
   CHECK(read.value().capacity.accelerators == 2);
   CHECK(read.value().labels == std::vector<std::string>{"a", "r1-3"});
   CHECK(read.value().clock_ms == 482113);
-  CHECK(read.value().born_ms == 77);
+  CHECK(read.value().started_ms == 77);
 }
 
 TEST_CASE_METHOD(PlatformTest,
@@ -145,7 +145,7 @@
   CHECK(reply(409, R"({"reason":"late"})") == OrderReply::kExpired);
   CHECK(reply(409, R"({"reason":"room"})") == OrderReply::kNoRoom);
   CHECK(reply(409, "\xff") == OrderReply::kMalformed);
-  CHECK(reply(421, "") == OrderReply::kOtherLife);
+  CHECK(reply(421, "") == OrderReply::kOtherIncarnation);
   CHECK(reply(503, "") == OrderReply::kUnhealthy);
   HttpOutcome lost;
   lost.failure = HttpFailure::kNoAnswer;
@@ -154,7 +154,7 @@
 
 TEST_CASE_METHOD(PlatformTest,
                  "Listing of runs is read whole or proves nothing") {
-  const HoldOutcome good = ReadHoldOutcome(Answer(
+  const PollOutcome good = ReadPollOutcome(Answer(
       200,
       R"({"clock-ms":9,"born":3,"running":[["5c.0.1.17",2,"",41,300]],)"
       R"("finished":[[58,"5c.0.1.9",1,"done",""],[59,"5c.0.1.8",1,"lapsed",""]]})"));
@@ -170,7 +170,7 @@
         R"({"clock-ms":9,"running":{}})",
         R"({"clock-ms":9,"finished":[["a","b",1,"done"]]})"}) {
     CAPTURE(bad);
-    CHECK(ReadHoldOutcome(Answer(200, bad)).reply != OrderReply::kAccepted);
+    CHECK(ReadPollOutcome(Answer(200, bad)).reply != OrderReply::kAccepted);
   }
 }
 
--- a/tests/soak/world_services.cc
+++ b/tests/soak/world_services.cc
@@ -1,10 +1,9 @@
-#include "soak/world.h"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
 #include "contract/service_text.h"
+#include "soak/world.h"
 
 namespace geranium::soak {
 namespace {
--- a/tests/step_world_test.cc
+++ b/tests/step_world_test.cc
@@ -64,14 +64,14 @@
 };
 
 TEST_CASE_METHOD(StepWorldTest,
-                 "StepWorld on a calm day every job meets its goal") {
+                 "StepWorld on a calm day every job meets its objective") {
   StepWorld world(Options(kOrdinary));
   world.Run(TimePoint(11'000));
   world.Run(TimePoint(17'000), false);
   CHECK(Asked(world) > 500);
   for (const auto& [name, report] : world.Report()) {
     CAPTURE(name, report.asked, report.late, report.refused, report.failed);
-    CHECK(report.InGoal() > 0.99);
+    CHECK(report.InObjective() > 0.99);
   }
   CheckPromises(world);
 }
@@ -86,12 +86,12 @@
   world.Run(TimePoint(9000));
   world.Run(TimePoint(16'000), false);
   for (const auto& [name, report] : world.Report()) {
-    CAPTURE(name, report.asked, report.in_goal, report.late, report.useless,
-            report.refused, report.failed);
-    WARN(name << " asked " << report.asked << " in goal " << report.in_goal
-              << " late " << report.late << " useless " << report.useless
-              << " refused " << report.refused << " failed " << report.failed
-              << " left " << report.left);
+    CAPTURE(name, report.asked, report.in_objective, report.late,
+            report.useless, report.refused, report.failed);
+    WARN(name << " asked " << report.asked << " in objective "
+              << report.in_objective << " late " << report.late << " useless "
+              << report.useless << " refused " << report.refused << " failed "
+              << report.failed << " left " << report.left);
   }
   CHECK(world.Worth() >= kTargetWorth);
   CheckPromises(world);
@@ -269,17 +269,17 @@
                  "StepWorld a worker that fails all it starts: jobs succeed "
                  "elsewhere, hopeless ones are failed") {
   StepWorldOptions options = Options(kOrdinary);
-  for (LoadClass& kind : options.load) kind.hopeless_jobs = 0.03;
+  for (LoadClass& kind : options.load) kind.failing_jobs = 0.03;
   StepWorld world(options);
   world.At(TimePoint(3000), [&] { world.faults(4).fails_all = true; });
   world.Run(TimePoint(8000));
   world.Run(TimePoint(14'000), false);
   for (const auto& [name, report] : world.Report()) {
-    CAPTURE(name, report.asked, report.in_goal, report.late, report.failed,
+    CAPTURE(name, report.asked, report.in_objective, report.late, report.failed,
             report.refused);
     // That only hopeless jobs are failed is one of the promises checked below.
     const int owed = report.asked - report.failed;
-    CHECK(report.in_goal + 0.2 * report.late > 0.9 * owed);
+    CHECK(report.in_objective + 0.2 * report.late > 0.9 * owed);
   }
   CheckPromises(world);
 }
