Link an agent to four entries by rendezvous hashing instead of to all

Cause: with every agent linked to every entry, messages grow with agents times entries, and entries that see the same free room order into it at once. Change: EntrySelection chooses; the session gives up a link only when nothing that came over it is open. An entry's share of a worker is told by the worker's report, in place of a guess from the number of entries. With four entries or fewer nothing changes.

--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -43,6 +43,8 @@
       cxxopts::value<int>()->default_value("11"))(
       "entries", "number of entries",
       cxxopts::value<int>()->default_value("4"))(
+      "entry-links", "entries that each agent is linked to",
+      cxxopts::value<std::size_t>()->default_value("4"))(
       "unanswered", "share of orders without an answer",
       cxxopts::value<double>()->default_value("0"))(
       "racks", "share of the jobs that want one rack",
@@ -66,6 +68,7 @@
   world_options.seed = parsed["seed"].as<std::uint64_t>();
   world_options.workers = parsed["workers"].as<int>();
   world_options.entries = parsed["entries"].as<int>();
+  world_options.entry_links = parsed["entry-links"].as<std::size_t>();
   world_options.load =
       geranium::standins::UsersLoad(parsed["factor"].as<double>());
   for (auto& kind : world_options.load) {
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -245,7 +245,6 @@
   AnnounceJobs(now);
   CloseSilentLinks(now);
   SendHeartbeats(now);
-  scheduler_.SetEntryCount(entry_links_.size() + 1);
   scheduler_.OnTick(now);
   while (!elsewhere_expiry_.empty() &&
          elsewhere_expiry_.begin()->first <= now) {
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -126,12 +126,14 @@
   ForgetIfDone(number);
 }
 
+// Each worker's processors are shared by the entries that it is linked to.
 double StepScheduler::Capacity(TimePoint now) const {
   double cpu = 0;
   for (const auto& [agent, worker] : workers_) {
     const bool counts = worker.link && worker.card && worker.report.accepting &&
                         !IsOnProbation(worker) && now - worker.heard <= kSilent;
-    if (counts) cpu += worker.card->capacity.cpu;
+    if (!counts) continue;
+    cpu += worker.card->capacity.cpu / std::max(worker.report.entries, 1U);
   }
   return cpu;
 }
@@ -148,9 +150,9 @@
                  static_cast<double>(step.estimate.ms());
     }
   }
-  const double share = capacity_ / static_cast<double>(entry_count_);
-  if (core_ms <= 0 || (learning_ && share <= 0)) return Duration(0);
-  return Duration(static_cast<std::int64_t>(core_ms / std::max(share, 0.1)));
+  if (core_ms <= 0 || (learning_ && capacity_ <= 0)) return Duration(0);
+  return Duration(
+      static_cast<std::int64_t>(core_ms / std::max(capacity_, 0.1)));
 }
 
 void StepScheduler::MoveLateJobs(TimePoint now) {
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -93,8 +93,6 @@
   static Duration ChainEstimate(const StepJob& job);
   /// While workers are still being learnt of, a job that fits none waits.
   void SetLearning(bool learning) { learning_ = learning; }
-  /// The number of entries among which the workers' capacity is shared.
-  void SetEntryCount(std::size_t entries) { entry_count_ = entries; }
   void SetTable(const RouteTable* table) { table_ = table; }
   void OnTick(TimePoint now);
   /// Places what waits; to be called after a batch of messages.
@@ -235,10 +233,9 @@
   std::map<Incarnation, Worker> workers_;
   std::unordered_map<LinkId, Incarnation> by_link_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  std::size_t entry_count_ = 1;
   bool learning_ = true;
   double median_slowness_ = 1;
-  double capacity_ = 0;  ///< Processors of all accepting workers.
+  double capacity_ = 0;  ///< This entry's share of the workers' processors.
   std::vector<StepJobId> given_up_;
   StepCounters counters_;
   std::vector<StepAction> actions_;
--- a/src/link/actions.h
+++ b/src/link/actions.h
@@ -19,6 +19,11 @@
   std::string address;
 };
 
+/// Closes the link to an entry and dials it no more.
+struct ReleaseEntry {
+  std::string address;
+};
+
 /// Cuts a link that has gone silent; whoever dialled it dials again.
 struct CloseLink {
   LinkId link;
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -41,12 +41,13 @@
   /// Processor of all orders received on this link, so that the entry knows
   /// which of its own orders `free` includes.
   double cpu_received = 0;
-  double slowness = 1;   ///< Run times there against the estimates.
-  bool failing = false;  ///< Most of what it starts fails or stands still.
+  double slowness = 1;        ///< Run times there against the estimates.
+  bool failing = false;       ///< Most of what it starts fails or stands still.
+  std::uint32_t entries = 1;  ///< Entries that it is linked to.
 
   template <class A>
   void Fields(A& a) {
-    a(accepting)(free)(queued_cpu)(cpu_received)(slowness)(failing);
+    a(accepting)(free)(queued_cpu)(cpu_received)(slowness)(failing)(entries);
   }
 };
 
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -44,7 +44,22 @@
 }
 
 void PeerLinks::Keep(const std::string& address) {
-  boost::asio::post(traffic_, [this, address] { sockets_->Dial(address); });
+  boost::asio::post(traffic_, [this, address] {
+    kept_.insert(address);
+    if (pending_.insert(address).second) sockets_->Dial(address);
+  });
+}
+
+void PeerLinks::Release(const std::string& address) {
+  boost::asio::post(traffic_, [this, address] {
+    kept_.erase(address);
+    for (const auto& [id, dialled] : dialled_) {
+      if (dialled == address) {
+        sockets_->Close(id);
+        return;
+      }
+    }
+  });
 }
 
 void PeerLinks::Send(LinkId link, Message message) {
@@ -80,6 +95,7 @@
   if (!dialled.empty()) {
     dialled_[id] = dialled;
     dial_waits_.erase(dialled);
+    if (!kept_.contains(dialled)) sockets_->Close(id);
   }
   boost::asio::post(control_, [this, id] {
     handlers_.on_up(LinkId(id));
@@ -122,8 +138,17 @@
       traffic_, std::chrono::milliseconds(random_.Jitter(wait).ms()));
   wait = std::min(longest_dial_wait_, wait * 2);
   timer->async_wait([this, timer, address](const auto& error) {
-    if (!error && !stopping_) sockets_->Dial(address);
+    if (!error && !stopping_) DialIfKept(address);
   });
 }
 
+void PeerLinks::DialIfKept(const std::string& address) {
+  if (kept_.contains(address)) {
+    sockets_->Dial(address);
+  } else {
+    pending_.erase(address);
+    dial_waits_.erase(address);
+  }
+}
+
 }  // namespace geranium
--- a/src/runtime/peer_links.h
+++ b/src/runtime/peer_links.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -40,6 +41,8 @@
   std::string Listen(const std::string& address);
   /// Connects to `ip:port`, again and again with growing jittered waits.
   void Keep(const std::string& address);
+  /// Closes the link to `ip:port`, if there is one, and connects no more.
+  void Release(const std::string& address);
   void Send(LinkId link, Message message);
   /// Resets a link that has gone silent.
   void Cut(LinkId link);
@@ -57,6 +60,7 @@
   void OnBytes(std::uint64_t id, const std::string& bytes);
   void OnClose(std::uint64_t id);
   void DialLater(const std::string& address);
+  void DialIfKept(const std::string& address);
 
   boost::asio::io_context& control_;
   boost::asio::io_context& traffic_;
@@ -64,6 +68,8 @@
   Random random_;
   Duration longest_dial_wait_;
   bool stopping_ = false;
+  std::set<std::string> kept_;     ///< To be linked.
+  std::set<std::string> pending_;  ///< Linked, dialled or waiting for that.
   std::map<std::uint64_t, std::string> dialled_;
   std::map<std::string, Duration> dial_waits_;
   std::map<LinkId, Frame> outgoing_;
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -49,10 +49,8 @@
   LogChange(LogLevel::kInfo, "started",
             {{"incarnation", ToString(settings_.node.incarnation)},
              {"worker", settings_.worker_address}});
-  session_.KnowEntries(settings_.entry_addresses);
-  for (const std::string& address : settings_.entry_addresses) {
-    links_.Keep(address);
-  }
+  session_.LearnEntries(settings_.entry_addresses, clock_.Now());
+  Carry();
   loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
             [this] { LearnEntries(settings_watch_.Look(true)); });
   return exit_status_;
@@ -146,6 +144,10 @@
   links_.Keep(action.address);
 }
 
+void StepAgentServer::Carry(const ReleaseEntry& action) {
+  links_.Release(action.address);
+}
+
 void StepAgentServer::Carry(const CloseLink& action) {
   links_.Cut(action.link);
 }
@@ -178,7 +180,7 @@
 void StepAgentServer::LearnEntries(
     const std::optional<std::vector<std::string>>& addresses) {
   if (!addresses) return;
-  for (const std::string& address : *addresses) session_.LearnEntry(address);
+  session_.LearnEntries(*addresses, clock_.Now());
   Carry();
 }
 
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -38,6 +38,7 @@
   void Carry();
   void Carry(const SendMessage& action);
   void Carry(const ConnectEntry& action);
+  void Carry(const ReleaseEntry& action);
   void Carry(const CloseLink& action);
   void Carry(const StartRun& order);
   void Carry(const StopRun& order);
--- /dev/null
+++ b/src/worker/entry_selection.cc
@@ -0,0 +1,51 @@
+#include "worker/entry_selection.h"
+
+#include <xxhash.h>
+
+namespace geranium {
+namespace {
+
+// Rendezvous hashing: each pair of agent and entry has its own value, so an
+// entry that comes or goes moves only the links that it wins or loses.
+std::uint64_t Rank(const std::string& agent, const std::string& address) {
+  const std::uint64_t seed = XXH64(agent.data(), agent.size(), 0);
+  return XXH64(address.data(), address.size(), seed);
+}
+
+}  // namespace
+
+bool EntrySelection::Learn(const std::string& address, TimePoint now) {
+  const auto [place, is_new] =
+      order_.try_emplace(Rank(agent_, address), Candidate{address, false});
+  if (is_new) Update(now);
+  return is_new;
+}
+
+void EntrySelection::OnLinked(const std::string& address) {
+  const auto found = order_.find(Rank(agent_, address));
+  if (found != order_.end()) found->second.linked = true;
+}
+
+void EntrySelection::OnUnlinked(const std::string& address, TimePoint now) {
+  const auto found = order_.find(Rank(agent_, address));
+  if (found == order_.end()) return;
+  found->second.linked = false;
+  found->second.since = now;
+}
+
+// The shortest beginning of the order with enough entries that are linked or
+// may still be. One that stays unlinked is dialled on beside its substitute.
+void EntrySelection::Update(TimePoint now) {
+  chosen_.clear();
+  std::size_t usable = 0;
+  for (auto& [rank, candidate] : order_) {
+    const bool wanted = usable < links_;
+    if (wanted && !candidate.was_chosen) candidate.since = now;
+    candidate.was_chosen = wanted;
+    if (!wanted) continue;
+    chosen_.insert(candidate.address);
+    if (candidate.linked || now - candidate.since <= kUnlinkedLimit) ++usable;
+  }
+}
+
+}  // namespace geranium
--- /dev/null
+++ b/src/worker/entry_selection.h
@@ -0,0 +1,54 @@
+#ifndef GERANIUM_WORKER_ENTRY_SELECTION_H_
+#define GERANIUM_WORKER_ENTRY_SELECTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace geranium {
+
+/// Chooses the entries to which an agent keeps links. With few entries these
+/// are all; beyond that each agent takes the first ones of an order that a hash
+/// of the agent's name and the entry's address gives, so that the links of an
+/// agent do not grow with the site and each entry gets an even share.
+class EntrySelection {
+ public:
+  /// An entry that has not been linked for this long is passed over; it is
+  /// still dialled and takes its place again once it is linked.
+  static constexpr Duration kUnlinkedLimit{1000};
+
+  EntrySelection(std::string agent, std::size_t links)
+      : agent_(std::move(agent)), links_(links) {}
+
+  /// Adds an entry's link address; false if it was known.
+  bool Learn(const std::string& address, TimePoint now);
+  void OnLinked(const std::string& address);
+  void OnUnlinked(const std::string& address, TimePoint now);
+
+  /// Chooses anew; to be called after changes and as time passes.
+  void Update(TimePoint now);
+  /// The entries to which links are kept, linked or not.
+  const std::set<std::string>& chosen() const { return chosen_; }
+
+ private:
+  struct Candidate {
+    std::string address;
+    bool linked = false;
+    bool was_chosen = false;
+    TimePoint since{};  ///< When it was chosen or its link was lost.
+  };
+
+  std::string agent_;
+  std::size_t links_;
+  std::map<std::uint64_t, Candidate> order_;  ///< By hash.
+  std::set<std::string> chosen_;
+};
+
+}  // namespace geranium
+
+#endif  // GERANIUM_WORKER_ENTRY_SELECTION_H_
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -19,7 +19,8 @@
 WorkerSession::WorkerSession(WorkerSessionOptions options)
     : options_(std::move(options)),
       fencing_token_(options_.first_fencing_token),
-      fencing_token_step_(kFirstTokenStep) {}
+      fencing_token_step_(kFirstTokenStep),
+      selection_(options_.name, options_.entry_links) {}
 
 std::vector<SessionAction> WorkerSession::TakeActions() {
   return std::exchange(actions_, {});
@@ -133,9 +134,10 @@
   return found == by_run_.end() ? nullptr : &attempts_.at(found->second);
 }
 
-std::string WorkerSession::RefuseOrder(const Entry& entry,
+std::string WorkerSession::RefuseOrder(const Peer& peer, const Entry& entry,
                                        const StartTask& order,
                                        TimePoint now) const {
+  if (peer.releasing) return "the link is being given up";
   if (!IsFresh(entry, now)) return "the entry's link is not fresh";
   if (!IsAccepting(now)) return "the worker takes no orders";
   if (by_task_.contains(order.run.task)) return "another run of it is here";
@@ -152,7 +154,7 @@
   if (entries_[entry].link != link) return;
   ++counters_.orders;
   report_due_ = true;
-  const std::string refusal = RefuseOrder(entries_[entry], order, now);
+  const std::string refusal = RefuseOrder(peer, entries_[entry], order, now);
   if (!refusal.empty()) {
     ++counters_.returned;
     Tell(entry, TaskEnd{order.attempt, AttemptEnd::kNotStarted, refusal});
@@ -341,6 +343,7 @@
   StartQueued(now);
   Poll(now);
   CloseSilentLinks(now);
+  ChooseEntries(now);
   SendHeartbeats(now);
   SendReports(now);
 }
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -14,6 +14,7 @@
 #include "base/log_note.h"
 #include "link/actions.h"
 #include "link/messages.h"
+#include "worker/entry_selection.h"
 #include "worker/run_record.h"
 #include "worker/worker_calls.h"
 
@@ -24,11 +25,15 @@
   Incarnation incarnation;
   std::uint64_t first_fencing_token = 1;
   Duration longest_lease{1000};
+  /// Links are kept to this many entries, so that the agent's load does not
+  /// grow with the site (docs/CAPACITY.md).
+  std::size_t entry_links = 4;
 };
 
 /// What the session's decisions ask of the world.
-using SessionAction = std::variant<SendMessage, ConnectEntry, CloseLink,
-                                   StartRun, StopRun, PollRuns, LogNote>;
+using SessionAction =
+    std::variant<SendMessage, ConnectEntry, ReleaseEntry, CloseLink, StartRun,
+                 StopRun, PollRuns, LogNote>;
 
 /// Counts for metrics.
 struct SessionCounters {
@@ -69,16 +74,8 @@
 
   explicit WorkerSession(WorkerSessionOptions options);
 
-  void KnowEntries(const std::vector<std::string>& addresses) {
-    known_entries_.insert(addresses.begin(), addresses.end());
-  }
-
-  /// Dials an entry unless it is known.
-  void LearnEntry(const std::string& address) {
-    if (known_entries_.insert(address).second) {
-      actions_.emplace_back(ConnectEntry{address});
-    }
-  }
+  /// Entries to choose from, by link address.
+  void LearnEntries(const std::vector<std::string>& addresses, TimePoint now);
 
   void OnAnnouncement(const WorkerAnnouncement& announcement, TimePoint now);
   /// The backend server says that it ends now.
@@ -109,6 +106,8 @@
   /// What runs, may run or is being stopped.
   const Resources& in_use() const { return in_use_; }
   const SessionCounters& counters() const { return counters_; }
+  /// Entries with a link, those that are being given up included.
+  std::size_t linked_entries() const { return peers_.size(); }
 
  private:
   enum class State {
@@ -139,6 +138,8 @@
     std::optional<TimePoint> newest_sent_at;
     TimePoint heard;
     double cpu_received = 0;
+    /// Since when the link is to be given up; nothing new is taken over it.
+    std::optional<TimePoint> releasing;
   };
 
   /// What is kept of an entry beyond one link.
@@ -158,8 +159,8 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
-  std::string RefuseOrder(const Entry& entry, const StartTask& order,
-                          TimePoint now) const;
+  std::string RefuseOrder(const Peer& peer, const Entry& entry,
+                          const StartTask& order, TimePoint now) const;
   void StartQueued(TimePoint now);
   void Start(Attempt& attempt, TimePoint now);
   void Stop(Attempt& attempt, const std::string& reason, TimePoint now);
@@ -187,10 +188,14 @@
   void MeasureRuns(TimePoint now);
   void StopStalled(TimePoint now);
   void CloseSilentLinks(TimePoint now);
+  void ChooseEntries(TimePoint now);
+  void ReleaseUnchosen(TimePoint now);
+  bool HasOpenWork(Incarnation entry) const;
   void SendHeartbeats(TimePoint now);
   void SendReports(TimePoint now);
   WorkerCard Card() const;
   WorkerReport Report(const Peer& peer, TimePoint now) const;
+  std::uint32_t CountEntries() const;
   bool HasRoom(const Resources& size) const;
   std::int64_t LeaseUntil(TimePoint now) const;
   bool IsFresh(const Entry& entry, TimePoint now) const;
@@ -228,7 +233,9 @@
   std::map<TaskRun, TimePoint> unknown_runs_;  ///< When a stop was last sent.
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, Entry> entries_;
-  std::set<std::string> known_entries_;
+  EntrySelection selection_;
+  std::set<std::string> kept_entries_;  ///< Dialled and not released.
+  TimePoint next_choice_;
   Resources in_use_;
   RunRecord record_;
   WorkerCard sent_card_;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -8,6 +8,11 @@
 
 /// Reports are sent at most this often.
 constexpr Duration kReportInterval{20};
+/// The choice of entries is looked at this often.
+constexpr Duration kChoiceInterval{100};
+/// A link is closed this long after its entry was told to order nothing more,
+/// well above the time that an order is under way.
+constexpr Duration kReleaseWait{300};
 
 }  // namespace
 
@@ -22,11 +27,15 @@
        Heartbeat{now, std::nullopt, Version(0), std::nullopt, std::nullopt});
 }
 
-void WorkerSession::OnLinkDown(LinkId link, TimePoint /*now*/) {
+void WorkerSession::OnLinkDown(LinkId link, TimePoint now) {
   const Peer& peer = peers_[link];
   if (peer.hello) {
     Entry& entry = entries_[peer.hello->incarnation];
-    if (entry.link == link) entry.linked = false;
+    if (entry.link == link) {
+      entry.linked = false;
+      selection_.OnUnlinked(peer.hello->link_address, now);
+      next_choice_ = now;
+    }
     Log(LogLevel::kWarning, "entry_link_down", {{"entry", peer.hello->name}});
   }
   peers_.erase(link);
@@ -43,7 +52,8 @@
 void WorkerSession::On(LinkId link, const Hello& hello, TimePoint now) {
   if (hello.role != ProcessRole::kEntry) return;
   peers_[link].hello = hello;
-  known_entries_.insert(hello.link_address);
+  selection_.Learn(hello.link_address, now);
+  selection_.OnLinked(hello.link_address);
   Entry& entry = entries_[hello.incarnation];
   entry.link = link;
   entry.linked = true;
@@ -61,11 +71,79 @@
   Send(link, Report(peers_[link], now));
 }
 
-void WorkerSession::On(LinkId /*link*/, const Members& members,
-                       TimePoint /*now*/) {
-  for (const std::string& address : members.entry_addresses) {
-    LearnEntry(address);
+void WorkerSession::On(LinkId /*link*/, const Members& members, TimePoint now) {
+  LearnEntries(members.entry_addresses, now);
+}
+
+// ---- which entries
+
+void WorkerSession::LearnEntries(const std::vector<std::string>& addresses,
+                                 TimePoint now) {
+  bool learnt = false;
+  for (const std::string& address : addresses) {
+    learnt = selection_.Learn(address, now) || learnt;
   }
+  if (!learnt) return;
+  next_choice_ = now;
+  ChooseEntries(now);
+}
+
+void WorkerSession::ChooseEntries(TimePoint now) {
+  if (now < next_choice_) return;
+  next_choice_ = now + kChoiceInterval;
+  selection_.Update(now);
+  for (const std::string& address : selection_.chosen()) {
+    if (!kept_entries_.insert(address).second) continue;
+    actions_.emplace_back(ConnectEntry{address});
+  }
+  ReleaseUnchosen(now);
+}
+
+// An entry that is given up is told first to order nothing more, and what it
+// ordered here is finished and acknowledged before the link is closed.
+void WorkerSession::ReleaseUnchosen(TimePoint now) {
+  const std::set<std::string>& chosen = selection_.chosen();
+  std::set<std::string> linked;
+  for (auto& [link, peer] : peers_) {
+    if (!peer.hello) continue;
+    const std::string& address = peer.hello->link_address;
+    if (chosen.contains(address)) {
+      report_due_ = report_due_ || peer.releasing.has_value();
+      peer.releasing.reset();
+      continue;
+    }
+    if (!peer.releasing) {
+      peer.releasing = now;
+      report_due_ = true;
+    }
+    if (now - *peer.releasing < kReleaseWait ||
+        HasOpenWork(peer.hello->incarnation)) {
+      linked.insert(address);
+    }
+  }
+  std::erase_if(kept_entries_, [&](const std::string& address) {
+    if (chosen.contains(address) || linked.contains(address)) return false;
+    Log(LogLevel::kInfo, "entry_released", {{"entry", address}});
+    actions_.emplace_back(ReleaseEntry{address});
+    return true;
+  });
+}
+
+bool WorkerSession::HasOpenWork(Incarnation entry) const {
+  const auto known = entries_.find(entry);
+  if (known != entries_.end() && !known->second.unacknowledged.empty()) {
+    return true;
+  }
+  return std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& item) {
+    return item.second.entry == entry;
+  });
+}
+
+std::uint32_t WorkerSession::CountEntries() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(peers_.begin(), peers_.end(), [](const auto& item) {
+        return item.second.hello && !item.second.releasing;
+      }));
 }
 
 void WorkerSession::On(LinkId link, const Heartbeat& heartbeat,
@@ -120,7 +198,8 @@
 
 WorkerReport WorkerSession::Report(const Peer& peer, TimePoint now) const {
   WorkerReport report;
-  report.accepting = IsAccepting(now);
+  report.accepting = IsAccepting(now) && !peer.releasing;
+  report.entries = CountEntries();
   if (worker_) {
     report.free = worker_->capacity;
     report.free -= in_use_;
--- a/standins/step_world.h
+++ b/standins/step_world.h
@@ -45,6 +45,7 @@
   Resources worker_size{36, 65536, 0};
   std::vector<LoadClass> load;
   StepSchedulerOptions scheduler;  ///< Its names are set for each entry.
+  std::size_t entry_links = 4;     ///< Of each agent.
   Duration caller_delay{3};
   Duration link_delay{1};
   Duration resend{1300};          ///< After a broken connection.
@@ -134,6 +135,8 @@
   void StartEntry(int index);
   void Dial(int agent, int entry);
   void DialEntry(int from, int to);
+  void KeepEntry(int agent, const std::string& address);
+  void ReleaseEntry(int agent, const std::string& address);
   bool Blocked(int from, int to) const;
   void Break(LinkId link);
   void Deliver(LinkId link, bool to_second, const Message& message);
--- a/standins/step_world_calls.cc
+++ b/standins/step_world_calls.cc
@@ -28,6 +28,10 @@
       CallWorker(index, *stop);
     } else if (auto* poll = std::get_if<PollRuns>(&action)) {
       AnswerPoll(index, agent.incarnation, *poll, now_ + poll->wait);
+    } else if (auto* connect = std::get_if<ConnectEntry>(&action)) {
+      KeepEntry(index, connect->address);
+    } else if (auto* release = std::get_if<geranium::ReleaseEntry>(&action)) {
+      ReleaseEntry(index, release->address);
     } else if (auto* close = std::get_if<CloseLink>(&action)) {
       At(now_, [this, link = close->link] { Break(link); });
     } else if (auto* note = std::get_if<LogNote>(&action)) {
--- a/standins/step_world_links.cc
+++ b/standins/step_world_links.cc
@@ -9,6 +9,15 @@
 namespace {
 
 constexpr Duration kRedial{60};
+constexpr char kEntryPrefix[] = "entry-";
+
+std::string EntryAddress(int index) {
+  return kEntryPrefix + std::to_string(index);
+}
+
+int EntryIndex(const std::string& address) {
+  return std::stoi(address.substr(sizeof(kEntryPrefix) - 1));
+}
 
 }  // namespace
 
@@ -17,7 +26,7 @@
   StepEntryOptions options;
   options.id = EntryId("entry-" + std::to_string(index));
   options.incarnation = Incarnation(next_incarnation_++);
-  options.link_address = "entry-" + std::to_string(index);
+  options.link_address = EntryAddress(index);
   options.scheduler = options_.scheduler;
   options.scheduler.incarnation = options.incarnation;
   options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
@@ -37,11 +46,34 @@
   options.name = agent.name;
   options.incarnation = Incarnation(next_incarnation_++);
   options.first_fencing_token = static_cast<std::uint64_t>(now_.ms());
+  options.entry_links = options_.entry_links;
   agent.session = std::make_unique<WorkerSession>(options);
   agent.alive = true;
   ++agent.incarnation;
   agent.next_announce = now_;
-  for (int i = 0; i < options_.entries; ++i) Dial(index, i);
+  std::vector<std::string> addresses;
+  for (int i = 0; i < options_.entries; ++i) {
+    addresses.push_back(EntryAddress(i));
+  }
+  agent.kept.clear();
+  agent.session->LearnEntries(addresses, now_);
+  DrainAgent(index);
+}
+
+void StepWorld::KeepEntry(int index, const std::string& address) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const int entry = EntryIndex(address);
+  if (agent.kept.insert(entry).second) Dial(index, entry);
+}
+
+void StepWorld::ReleaseEntry(int index, const std::string& address) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const int entry = EntryIndex(address);
+  agent.kept.erase(entry);
+  for (const auto& [link, wire] : wires_) {
+    if (wire.agent != index || wire.entry != entry) continue;
+    At(now_, [this, link = link] { Break(link); });
+  }
 }
 
 bool StepWorld::Blocked(int from, int to) const {
@@ -52,6 +84,14 @@
   const Agent& agent = *agents_[static_cast<std::size_t>(index)];
   const Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
   const std::uint64_t incarnation = agent.incarnation;
+  if (!agent.kept.contains(entry_index)) return;
+  const bool linked =
+      std::any_of(wires_.begin(), wires_.end(), [&](const auto& item) {
+        const Wire& wire = item.second;
+        return wire.agent == index && wire.entry == entry_index &&
+               wire.first_incarnation == incarnation;
+      });
+  if (linked) return;
   const bool reachable = agent.alive && entry.alive &&
                          now_ >= entry.frozen_until &&
                          now_ >= agent.frozen_until &&
--- a/standins/step_world_parts.h
+++ b/standins/step_world_parts.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "step_world.h"
@@ -23,6 +24,7 @@
   std::unique_ptr<WorkerSession> session;
   std::uint64_t incarnation = 0;
   std::uint64_t worker_life = 0;
+  std::set<int> kept;  ///< Entries that it dials.
   bool alive = false;
   bool worker_alive = true;
   TimePoint frozen_until = TimePoint::Never();
--- /dev/null
+++ b/tests/entry_selection_test.cc
@@ -0,0 +1,95 @@
+#include "worker/entry_selection.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace geranium {
+namespace {
+
+constexpr std::size_t kLinks = 4;
+
+class EntrySelectionTest {
+ protected:
+  static std::string Address(int entry) {
+    return "10.0.0." + std::to_string(entry) + ":7000";
+  }
+
+  static EntrySelection Make(const std::string& agent, int entries) {
+    EntrySelection selection(agent, kLinks);
+    for (int i = 0; i < entries; ++i) selection.Learn(Address(i), kStart);
+    for (const std::string& address : std::set(selection.chosen())) {
+      selection.OnLinked(address);
+    }
+    selection.Update(kStart);
+    return selection;
+  }
+
+  static constexpr TimePoint kStart{1000};
+  static constexpr Duration kLong = EntrySelection::kUnlinkedLimit * 2;
+};
+
+TEST_CASE_METHOD(EntrySelectionTest,
+                 "EntrySelection with few entries chooses all") {
+  CHECK(Make("agent", 3).chosen().size() == 3);
+  CHECK(Make("agent", 4).chosen().size() == 4);
+}
+
+TEST_CASE_METHOD(EntrySelectionTest,
+                 "EntrySelection with many entries gives each an even share") {
+  std::map<std::string, int> agents;
+  for (int agent = 0; agent < 200; ++agent) {
+    const auto selection = Make("agent-" + std::to_string(agent), 10);
+    CHECK(selection.chosen().size() == kLinks);
+    for (const std::string& address : selection.chosen()) ++agents[address];
+  }
+  CHECK(agents.size() == 10);
+  for (const auto& [address, count] : agents) {
+    CAPTURE(address);
+    // 80 on average; a binomial count is beyond these bounds once in 10,000.
+    CHECK(count > 53);
+    CHECK(count < 107);
+  }
+}
+
+TEST_CASE_METHOD(EntrySelectionTest,
+                 "EntrySelection a lost entry is replaced while it is away") {
+  EntrySelection selection = Make("agent", 10);
+  const std::set<std::string> before = selection.chosen();
+  const std::string lost = *before.begin();
+  selection.OnUnlinked(lost, kStart);
+  selection.Update(kStart + Duration(1));
+  CHECK(selection.chosen() == before);
+  selection.Update(kStart + kLong);
+  CHECK(selection.chosen().size() == kLinks + 1);
+  CHECK(selection.chosen().contains(lost));
+  selection.OnLinked(lost);
+  selection.Update(kStart + kLong);
+  CHECK(selection.chosen() == before);
+}
+
+TEST_CASE_METHOD(EntrySelectionTest,
+                 "EntrySelection a new entry takes the place of one at most") {
+  for (int agent = 0; agent < 20; ++agent) {
+    EntrySelection selection = Make("agent-" + std::to_string(agent), 10);
+    const std::set<std::string> before = selection.chosen();
+    selection.Learn(Address(99), kStart);
+    int kept = 0;
+    for (const std::string& address : selection.chosen()) {
+      kept += before.contains(address) ? 1 : 0;
+    }
+    CHECK(kept >= static_cast<int>(kLinks) - 1);
+  }
+}
+
+TEST_CASE_METHOD(EntrySelectionTest,
+                 "EntrySelection when all entries are away all are dialled") {
+  EntrySelection selection = Make("agent", 10);
+  for (int round = 1; round <= 10; ++round) {
+    for (int i = 0; i < 10; ++i) selection.OnUnlinked(Address(i), kStart);
+    selection.Update(kStart + kLong * round);
+  }
+  CHECK(selection.chosen().size() == 10);
+}
+
+}  // namespace
+}  // namespace geranium
--- a/tests/step_world_test.cc
+++ b/tests/step_world_test.cc
@@ -284,42 +284,50 @@
   CheckPromises(world);
 }
 
+/// Strikes `world` with fourteen faults drawn from the seed.
+void PlanRandomFaults(StepWorld& world, const StepWorldOptions& options) {
+  Random random(options.seed * 977);
+  for (int i = 0; i < 14; ++i) {
+    const TimePoint when(1700 + static_cast<std::int64_t>(random.Below(5000)));
+    const int worker = static_cast<int>(
+        random.Below(static_cast<std::size_t>(options.workers)));
+    const int entry = static_cast<int>(
+        random.Below(static_cast<std::size_t>(options.entries)));
+    const Duration span(20 + static_cast<std::int64_t>(random.Below(3000)));
+    const std::size_t kind = random.Below(9);
+    const int entries = options.entries;
+    world.At(when, [&world, worker, entry, span, kind, entries] {
+      switch (kind) {
+        case 0:
+          return world.KillAgent(worker, span);
+        case 1:
+          return world.FreezeAgent(worker, span);
+        case 2:
+          return world.RestartWorker(worker, span);
+        case 3:
+          return world.KillEntry(entry, span);
+        case 4:
+          return world.FreezeEntry(entry, span);
+        case 5:
+          return world.CutAgent(worker, span);
+        case 6:
+          return world.CutEntries(entry, (entry + 1) % entries, span);
+        case 7:
+          world.faults(worker).unanswered = 0.1;
+          return;
+        default:
+          return world.CutEntries(entry, entries + worker, span);
+      }
+    });
+  }
+}
+
 TEST_CASE_METHOD(StepWorldTest,
                  "StepWorld random faults in series: the promises hold") {
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
-    StepWorld world(Options(kOrdinary, seed));
-    Random random(seed * 977);
-    for (int i = 0; i < 14; ++i) {
-      const TimePoint when(1700 +
-                           static_cast<std::int64_t>(random.Below(5000)));
-      const int worker = static_cast<int>(random.Below(11));
-      const int entry = static_cast<int>(random.Below(4));
-      const Duration span(20 + static_cast<std::int64_t>(random.Below(3000)));
-      const std::size_t kind = random.Below(9);
-      world.At(when, [&world, worker, entry, span, kind] {
-        switch (kind) {
-          case 0:
-            return world.KillAgent(worker, span);
-          case 1:
-            return world.FreezeAgent(worker, span);
-          case 2:
-            return world.RestartWorker(worker, span);
-          case 3:
-            return world.KillEntry(entry, span);
-          case 4:
-            return world.FreezeEntry(entry, span);
-          case 5:
-            return world.CutAgent(worker, span);
-          case 6:
-            return world.CutEntries(entry, (entry + 1) % 4, span);
-          case 7:
-            world.faults(worker).unanswered = 0.1;
-            return;
-          default:
-            return world.CutEntries(entry, 4 + worker, span);
-        }
-      });
-    }
+    const StepWorldOptions options = Options(kOrdinary, seed);
+    StepWorld world(options);
+    PlanRandomFaults(world, options);
     world.Run(TimePoint(8000));
     world.Run(TimePoint(20'000), false);
     CAPTURE(seed);
@@ -328,5 +336,67 @@
   }
 }
 
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld random faults with more entries than links: the "
+                 "promises hold and links come back to their number") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    StepWorldOptions options = Options(2 * kOrdinary, seed);
+    options.entries = 9;
+    options.workers = 22;
+    StepWorld world(options);
+    PlanRandomFaults(world, options);
+    world.Run(TimePoint(8000));
+    world.Run(TimePoint(20'000), false);
+    CAPTURE(seed);
+    CheckPromises(world);
+    CHECK(world.Unanswered() == std::vector<std::string>());
+    for (int i = 0; i < options.workers; ++i) {
+      CAPTURE(i);
+      CHECK(world.session(i).linked_entries() == options.entry_links);
+    }
+  }
+}
+
+// With every agent linked to all of 14 entries, 0.93 of the worth was earned:
+// entries that see the same free room order into it at once.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld many entries at 1.3 times the load, few links to "
+                 "each worker keep orders from colliding") {
+  StepWorldOptions options = Options(8);
+  options.entries = 14;
+  options.workers = 76;
+  StepWorld world(options);
+  world.Run(TimePoint(5000));
+  world.Run(TimePoint(9000), false);
+  CHECK(world.Worth() > 0.97);
+  CheckPromises(world);
+}
+
+// The entries take turns in being away, so that their agents give up links
+// over which orders come.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld links are given up under load without loss") {
+  StepWorldOptions options = Options(2 * kOrdinary);
+  options.entries = 9;
+  options.workers = 22;
+  StepWorld world(options);
+  for (int i = 0; i < 3; ++i) {
+    world.At(TimePoint(2000 + 3000 * i),
+             [&world, i] { world.KillEntry(i, Duration(1800)); });
+  }
+  world.Run(TimePoint(12'000));
+  world.Run(TimePoint(18'000), false);
+  int released = 0;
+  for (const std::string& line : world.log) {
+    released += line.find("entry_released") != std::string::npos ? 1 : 0;
+    // Work over a link that was given up is not lost with it.
+    CHECK(line.find("worker_lost") == std::string::npos);
+  }
+  CHECK(released > 0);
+  CHECK(world.Worth() > 0.9);
+  CheckPromises(world);
+  CHECK(world.Unanswered() == std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace geranium::standins
