Log each decision on a request within a budget for each event, from a thread of its own

Cause: only jobs that failed were logged, so a late one could not be followed; one flood used up the budget of all events; and the console appender waits for its reader, so a reader that stopped would have stopped the control thread. Change: job_admitted, job_placed, attempt_returned, job_completed, worker_state at entries and run_done, run_not_done at agents, with the inputs and their ages. A budget for each event; the next line says how many were left out.

--- a/src/entry/step_actions.h
+++ b/src/entry/step_actions.h
@@ -2,6 +2,7 @@
 #define GERANIUM_ENTRY_STEP_ACTIONS_H_
 
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "base/clock.h"
@@ -20,6 +21,25 @@
   kAbandoned,    ///< It may have run and is given up.
 };
 
+/// As in logs and metrics.
+constexpr std::string_view Name(StepAnswer answer) {
+  switch (answer) {
+    case StepAnswer::kCompleted:
+      return "completed";
+    case StepAnswer::kFailed:
+      return "failed";
+    case StepAnswer::kRefused:
+      return "refused";
+    case StepAnswer::kNoRoute:
+      return "no_route";
+    case StepAnswer::kUnsupported:
+      return "unsupported";
+    case StepAnswer::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 /// The one answer to a step job's caller.
 struct AnswerStepJob {
   CallerHandle caller;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -116,10 +116,12 @@
   } else if (!fits && !learning_) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter,
            "no known worker can hold it", now);
-  } else if (now + ExpectedWait(route.priority) > kept.latest_start) {
+  } else if (const Duration wait = ExpectedWait(route.priority);
+             now + wait > kept.latest_start) {
     Answer(kept, StepAnswer::kRefused, kRetryAfter, "the queue is too long",
            now);
   } else {
+    LogAdmitted(kept, wait);
     Unblock(kept);
     if (kept.waiting > 0) waiting_.insert(PlaceOf(kept, number));
   }
@@ -272,6 +274,21 @@
   }
 }
 
+void StepScheduler::LogAdmitted(const Job& job, Duration expected_wait) {
+  std::size_t tasks = 0;
+  for (const Step& step : job.steps) tasks += step.tasks.size();
+  Log(LogLevel::kInfo, "job_admitted",
+      {{"job", job.spec.id.value()},
+       {"route", job.route.name},
+       {"priority", std::to_string(job.route.priority)},
+       {"tasks", std::to_string(tasks)},
+       {"estimate_ms", std::to_string(ChainEstimate(job.spec).ms())},
+       {"expected_wait_ms", std::to_string(expected_wait.ms())},
+       {"held", job.held ? "true" : "false"},
+       {"table_version",
+        std::to_string(table_ == nullptr ? 0 : table_->version)}});
+}
+
 void StepScheduler::Send(LinkId link, Message message) {
   actions_.emplace_back(SendMessage{link, std::move(message)});
 }
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -135,6 +135,7 @@
     std::vector<Step> steps;
     std::size_t waiting = 0;
     std::size_t attempts = 0;  ///< Orders that are not known to have ended.
+    std::uint64_t orders = 0;
     bool held = false;
     bool late = false;  ///< Past its latest start with nothing started.
     bool answered = false;
@@ -156,6 +157,7 @@
     std::optional<LinkId> link;
     std::optional<WorkerCard> card;
     WorkerReport report;
+    TimePoint reported;
     TimePoint heard;
     double cpu_sent = 0;  ///< Over the present link.
     TimePoint next_probe = TimePoint::Never();
@@ -188,8 +190,15 @@
   void MoveLateJobs(TimePoint now);
   std::string Unsupported(const StepJob& job, const Route& route) const;
   void Unblock(Job& job);
+  /// Orders of one job that were sent in one go, for its log line.
+  struct Placed {
+    std::map<std::string, int> tasks;  ///< By worker.
+    Duration oldest_report;
+  };
+
   bool PlaceTask(JobNumber number, Job& job, std::size_t step, std::size_t task,
-                 TimePoint now);
+                 Placed& placed, TimePoint now);
+  void LogPlaced(const Job& job, const Placed& placed, TimePoint now);
   bool HasLocalWorker(const Need& need, TimePoint now) const;
   Worker* ChooseWorker(Need need, TimePoint now);
   bool Suits(const Worker& worker, const Need& need, TimePoint now) const;
@@ -204,6 +213,9 @@
   std::uint32_t CountOn(const Need& need, const Worker& worker) const;
   void Order(JobNumber number, Job& job, std::size_t step, std::size_t task,
              Worker& worker, TimePoint now);
+  void LogAdmitted(const Job& job, Duration expected_wait);
+  void LogReturned(const Job& job, const Attempt& attempt, const Worker* worker,
+                   AttemptEnd end, const std::string& reason, TimePoint now);
   void Resolve(const AttemptId& id, AttemptEnd end, const std::string& reason,
                TimePoint now);
   void TakeDone(Job& job, std::size_t step, StepTask& task, TimePoint now);
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -30,6 +30,7 @@
   for (const Place& key : waiting_) {
     Job& job = jobs_.at(key.number);
     if (job.held) continue;
+    Placed placed;
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
       Step& step = job.steps[s];
       const StepSpec& spec = job.spec.steps[s];
@@ -38,16 +39,17 @@
       for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
         if (step.tasks[t].state != TaskState::kWaiting) continue;
         if (full.contains(shape)) break;
-        if (!PlaceTask(key.number, job, s, t, now)) full.insert(shape);
+        if (!PlaceTask(key.number, job, s, t, placed, now)) full.insert(shape);
       }
     }
+    if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) emptied.push_back(key);
   }
   for (const Place& key : emptied) waiting_.erase(key);
 }
 
 bool StepScheduler::PlaceTask(JobNumber number, Job& job, std::size_t step,
-                              std::size_t task, TimePoint now) {
+                              std::size_t task, Placed& placed, TimePoint now) {
   Need need;
   need.job = &job;
   need.step = &job.spec.steps[step];
@@ -56,10 +58,27 @@
   need.avoid = &job.steps[step].tasks[task].avoid;
   Worker* worker = ChooseWorker(need, now);
   if (worker == nullptr) return false;
+  ++placed.tasks[worker->card->id.value()];
+  placed.oldest_report = std::max(placed.oldest_report, now - worker->reported);
   Order(number, job, step, task, *worker, now);
   return true;
 }
 
+void StepScheduler::LogPlaced(const Job& job, const Placed& placed,
+                              TimePoint now) {
+  std::string workers;
+  for (const auto& [worker, tasks] : placed.tasks) {
+    workers +=
+        (workers.empty() ? "" : ",") + worker + ":" + std::to_string(tasks);
+  }
+  Log(LogLevel::kInfo, "job_placed",
+      {{"job", job.spec.id.value()},
+       {"workers", workers},
+       {"waiting_tasks", std::to_string(job.waiting)},
+       {"age_ms", std::to_string((now - job.submitted).ms())},
+       {"oldest_report_ms", std::to_string(placed.oldest_report.ms())}});
+}
+
 // What an order of the priority would find free or be the next to get: work
 // that is queued there for less urgent orders does not count.
 double StepScheduler::FreeCpu(const Worker& worker, int priority) {
@@ -197,6 +216,7 @@
   --job.steps[step].waiting;
   --job.waiting;
   ++job.attempts;
+  ++job.orders;
   job.may_have_run = true;
   attempts_[id] = Attempt{number, step, task, worker.agent, now};
   worker.attempts.insert(id);
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -31,6 +31,9 @@
   --job.attempts;
   if (!job.answered) {
     const Worker* where = worker == workers_.end() ? nullptr : &worker->second;
+    if (end != AttemptEnd::kDone) {
+      LogReturned(job, attempt, where, end, reason, now);
+    }
     switch (end) {
       case AttemptEnd::kDone:
         TakeDone(job, attempt.step, task, now);
@@ -63,6 +66,23 @@
   ForgetIfDone(attempt.job);
 }
 
+void StepScheduler::LogReturned(const Job& job, const Attempt& attempt,
+                                const Worker* worker, AttemptEnd end,
+                                const std::string& reason, TimePoint now) {
+  const StepTask& task = job.steps[attempt.step].tasks[attempt.task];
+  Log(LogLevel::kInfo, "attempt_returned",
+      {{"job", job.spec.id.value()},
+       {"step", std::to_string(attempt.step)},
+       {"task", std::to_string(attempt.task)},
+       {"run", std::to_string(task.run)},
+       {"worker",
+        worker != nullptr && worker->card ? worker->card->id.value() : ""},
+       {"end", std::string(Name(end))},
+       {"reason", reason},
+       {"failures", std::to_string(task.failures)},
+       {"age_ms", std::to_string((now - attempt.sent).ms())}});
+}
+
 void StepScheduler::TakeDone(Job& job, std::size_t step, StepTask& task,
                              TimePoint now) {
   task.state = TaskState::kDone;
@@ -114,11 +134,16 @@
     default:
       ++counters_.refused;
   }
-  if (answer != StepAnswer::kCompleted) {
+  if (answer == StepAnswer::kCompleted) {
+    Log(LogLevel::kInfo, "job_completed",
+        {{"job", job.spec.id.value()},
+         {"age_ms", std::to_string((now - job.submitted).ms())},
+         {"orders", std::to_string(job.orders)}});
+  } else {
     Log(LogLevel::kInfo, "job_not_completed",
         {{"job", job.spec.id.value()},
          {"route", job.route.name},
-         {"answer", std::to_string(static_cast<int>(answer))},
+         {"answer", std::string(Name(answer))},
          {"reason", reason},
          {"age_ms", std::to_string((now - job.submitted).ms())},
          {"waiting_tasks", std::to_string(job.waiting)},
@@ -197,10 +222,22 @@
   }
 }
 
-void StepScheduler::On(LinkId link, const WorkerReport& report,
-                       TimePoint /*now*/) {
+void StepScheduler::On(LinkId link, const WorkerReport& report, TimePoint now) {
   Worker* worker = FindByLink(link);
-  if (worker != nullptr) worker->report = report;
+  if (worker == nullptr) return;
+  const bool accepted = worker->report.accepting;
+  const bool was_on_probation = IsOnProbation(*worker);
+  worker->report = report;
+  worker->reported = now;
+  const bool on_probation = IsOnProbation(*worker);
+  if (accepted == report.accepting && was_on_probation == on_probation) return;
+  Log(LogLevel::kInfo, "worker_state",
+      {{"worker", worker->card ? worker->card->id.value() : ""},
+       {"accepting", report.accepting ? "true" : "false"},
+       {"on_probation", on_probation ? "true" : "false"},
+       {"failing", report.failing ? "true" : "false"},
+       {"slowness", std::to_string(report.slowness)},
+       {"median_slowness", std::to_string(median_slowness_)}});
 }
 
 void StepScheduler::On(LinkId link, const AttemptList& list, TimePoint now) {
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -85,6 +86,23 @@
   kSuperseded,  ///< Not started: the worker knows a run with a higher number.
 };
 
+/// As in logs.
+constexpr std::string_view Name(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kDone:
+      return "done";
+    case AttemptEnd::kFailed:
+      return "failed";
+    case AttemptEnd::kNotStarted:
+      return "not_started";
+    case AttemptEnd::kStopped:
+      return "stopped";
+    case AttemptEnd::kSuperseded:
+      return "superseded";
+  }
+  return "unknown";
+}
+
 /// An attempt's end; sent again on a new link until it is acknowledged.
 struct TaskEnd {
   AttemptId attempt;
--- a/src/programs/geranium_timeline.cc
+++ b/src/programs/geranium_timeline.cc
@@ -1,13 +1,40 @@
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
 
 #include "settings/command_line.h"
+#include "timeline/log_lines.h"
 #include "timeline/time_line.h"
 
 namespace {
 
+void Print(const geranium::PlacedEvent& event, bool json) {
+  std::cout << (json ? ToJson(event).dump() : ToText(event)) << "\n";
+}
+
+// One request's way, from the logs of all processes.
+int PrintRequest(const std::string& job, const std::vector<std::string>& files,
+                 bool json) {
+  std::vector<std::ifstream> streams;
+  std::vector<std::istream*> logs;
+  streams.reserve(files.size());
+  for (const std::string& file : files) {
+    streams.emplace_back(file);
+    if (!streams.back()) {
+      std::cerr << "geranium-timeline: cannot read " << file << "\n";
+      return geranium::kExitUsage;
+    }
+    logs.push_back(&streams.back());
+  }
+  const auto events = geranium::TraceRequest(logs, job);
+  for (const geranium::PlacedEvent& event : events) Print(event, json);
+  if (!events.empty()) return 0;
+  std::cerr << "geranium-timeline: no line about " << job << "\n";
+  return 1;
+}
+
 int Run(int argc, char** argv) {
   cxxopts::Options options(
       "geranium-timeline",
@@ -23,7 +50,13 @@
       cxxopts::value<std::string>()->default_value(""))(
       "data-centre", "only events in this data centre",
       cxxopts::value<std::string>()->default_value(""))("json",
-                                                        "print JSON lines");
+                                                        "print JSON lines")(
+      "request", "one step job's way, by its id, from log files",
+      cxxopts::value<std::string>())(
+      "files", "log files of any processes, with --request",
+      cxxopts::value<std::vector<std::string>>()->default_value(""));
+  options.parse_positional("files");
+  options.positional_help("[FILE...]");
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << options.help() << "\n";
@@ -33,16 +66,19 @@
     std::cout << "geranium-timeline " << GERANIUM_VERSION << "\n";
     return 0;
   }
+  const bool json = parsed.count("json") > 0;
+  if (parsed.count("request") > 0) {
+    return PrintRequest(parsed["request"].as<std::string>(),
+                        parsed["files"].as<std::vector<std::string>>(), json);
+  }
   std::vector<std::string> missing;
   const auto streams = geranium::FetchStreams(
       parsed["entries"].as<std::vector<std::string>>(), missing);
   const geranium::TimeLineFilter filter{
       parsed["job"].as<std::string>(), parsed["process"].as<std::string>(),
       parsed["data-centre"].as<std::string>()};
-  const bool json = parsed.count("json") > 0;
   for (const geranium::PlacedEvent& event : geranium::Merge(streams)) {
-    if (!geranium::Matches(event, filter)) continue;
-    std::cout << (json ? ToJson(event).dump() : ToText(event)) << "\n";
+    if (geranium::Matches(event, filter)) Print(event, json);
   }
   for (const std::string& address : missing) {
     std::cerr << "geranium-timeline: no events from " << address << "\n";
--- a/src/runtime/bounded_log.cc
+++ b/src/runtime/bounded_log.cc
@@ -2,30 +2,36 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "runtime/logging.h"
 
 namespace geranium {
 
+BoundedLog::BoundedLog() : sink_(LogChange) {}
+
 void BoundedLog::Write(const LogNote& note, TimePoint now) {
   constexpr std::int64_t kFull = kBurst * 1000;
-  if (filled_ != TimePoint::Never()) {
+  Budget& budget = budgets_[note.event];
+  if (budget.filled != TimePoint::Never()) {
     const std::int64_t gained =
-        std::clamp<std::int64_t>((now - filled_).ms() * kRate, 0, kFull);
-    millitokens_ = std::min(kFull, millitokens_ + gained);
+        std::clamp<std::int64_t>((now - budget.filled).ms() * kRate, 0, kFull);
+    budget.millitokens = std::min(kFull, budget.millitokens + gained);
   }
-  filled_ = now;
-  if (millitokens_ < 1000) {
-    ++left_out_;
+  budget.filled = now;
+  if (budget.millitokens < 1000) {
+    ++budget.left_out;
     return;
   }
-  millitokens_ -= 1000;
-  if (left_out_ > 0) {
-    LogChange(LogLevel::kWarning, "log_lines_left_out",
-              {{"count", std::to_string(left_out_)}});
-    left_out_ = 0;
+  budget.millitokens -= 1000;
+  if (budget.left_out == 0) {
+    sink_(note.level, note.event, note.fields);
+    return;
   }
-  LogChange(note.level, note.event, note.fields);
+  LogFields fields = note.fields;
+  fields.emplace_back("left_out_before",
+                      std::to_string(std::exchange(budget.left_out, 0)));
+  sink_(note.level, note.event, fields);
 }
 
 }  // namespace geranium
--- a/src/runtime/bounded_log.h
+++ b/src/runtime/bounded_log.h
@@ -2,26 +2,43 @@
 #define GERANIUM_RUNTIME_BOUNDED_LOG_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/log_note.h"
 
 namespace geranium {
 
-/// Writes log lines up to a rate and counts those that it leaves out, so that
-/// logging never takes the processor that requests need.
+/// Writes log lines up to a rate for each event, so that logging never takes
+/// the processor that requests need and a flood of one event hides no other.
+/// The next line of an event says how many were left out before it.
 class BoundedLog {
  public:
-  /// Lines a second, on average and at once.
+  /// Lines of one event a second, on average and at once.
   static constexpr std::int64_t kRate = 50;
   static constexpr std::int64_t kBurst = 200;
 
+  using Sink = std::function<void(LogLevel level, const std::string& event,
+                                  const LogFields& fields)>;
+
+  /// Lines go to the process's log.
+  BoundedLog();
+  explicit BoundedLog(Sink sink) : sink_(std::move(sink)) {}
+
   void Write(const LogNote& note, TimePoint now);
 
  private:
-  std::int64_t millitokens_ = kBurst * 1000;
-  TimePoint filled_ = TimePoint::Never();
-  std::uint64_t left_out_ = 0;
+  struct Budget {
+    std::int64_t millitokens = kBurst * 1000;
+    TimePoint filled = TimePoint::Never();
+    std::uint64_t left_out = 0;
+  };
+
+  Sink sink_;
+  std::map<std::string, Budget> budgets_;  ///< By event.
 };
 
 }  // namespace geranium
--- /dev/null
+++ b/src/runtime/line_writer.cc
@@ -0,0 +1,103 @@
+#include "runtime/line_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace geranium {
+namespace {
+
+/// At the end of the process, for lines that a slow reader has not taken.
+constexpr std::chrono::milliseconds kFlushLimit(200);
+
+// False if nothing can be written any more.
+bool WriteAll(int descriptor, const std::string& bytes) {
+  std::size_t written = 0;
+  while (written < bytes.size()) {
+    const ssize_t count =
+        ::write(descriptor, bytes.data() + written, bytes.size() - written);
+    if (count >= 0) {
+      written += static_cast<std::size_t>(count);
+    } else if (errno == EAGAIN) {
+      pollfd wait{descriptor, POLLOUT, 0};
+      (void)::poll(&wait, 1, -1);
+    } else if (errno != EINTR) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+// Shared with the thread, which outlives the writer if its reader has stopped.
+struct LineWriter::State {
+  int descriptor = -1;
+  std::size_t limit = 0;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::string buffer;
+  std::uint64_t dropped = 0;
+  bool writing = false;
+  bool ended = false;
+  bool broken = false;
+};
+
+LineWriter::LineWriter(int descriptor, std::size_t buffer_bytes)
+    : state_(std::make_shared<State>()) {
+  state_->descriptor = descriptor;
+  state_->limit = buffer_bytes;
+  std::thread([state = state_] { Run(state); }).detach();
+}
+
+LineWriter::~LineWriter() {
+  std::unique_lock lock(state_->mutex);
+  state_->ended = true;
+  state_->changed.notify_all();
+  (void)state_->changed.wait_for(lock, kFlushLimit, [this] {
+    return state_->broken || (state_->buffer.empty() && !state_->writing);
+  });
+}
+
+void LineWriter::Write(const std::string& line) {
+  const std::lock_guard lock(state_->mutex);
+  if (state_->broken) return;
+  if (state_->buffer.size() + line.size() > state_->limit) {
+    ++state_->dropped;
+    return;
+  }
+  const bool was_empty = state_->buffer.empty();
+  if (state_->dropped > 0) {
+    state_->buffer += "event=log_lines_dropped count=" +
+                      std::to_string(std::exchange(state_->dropped, 0)) + "\n";
+  }
+  state_->buffer += line;
+  if (was_empty) state_->changed.notify_all();
+}
+
+void LineWriter::Run(const std::shared_ptr<State>& state) {
+  std::unique_lock lock(state->mutex);
+  while (true) {
+    state->changed.wait(lock,
+                        [&] { return state->ended || !state->buffer.empty(); });
+    if (state->buffer.empty()) return;
+    const std::string bytes = std::exchange(state->buffer, {});
+    state->writing = true;
+    lock.unlock();
+    const bool written = WriteAll(state->descriptor, bytes);
+    lock.lock();
+    state->writing = false;
+    state->broken = !written;
+    state->changed.notify_all();
+    if (!written) return;
+  }
+}
+
+}  // namespace geranium
--- a/src/runtime/logging.cc
+++ b/src/runtime/logging.cc
@@ -1,12 +1,16 @@
 #include "runtime/logging.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 #include <memory>
+#include <sstream>
+
+#include "runtime/line_writer.h"
 
 namespace geranium {
 namespace {
@@ -23,6 +27,26 @@
   return quoted + "\"";
 }
 
+/// Hands lines to a thread that writes them, so that no decision waits for the
+/// reader of the log.
+class QueueAppender : public log4cplus::Appender {
+ public:
+  explicit QueueAppender(int descriptor) : writer_(descriptor) {}
+  ~QueueAppender() override { destructorImpl(); }
+
+  void close() override {}
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    writer_.Write(line.str());
+  }
+
+ private:
+  LineWriter writer_;
+};
+
 log4cplus::Logger& RootLogger() {
   static log4cplus::Logger logger = log4cplus::Logger::getRoot();
   return logger;
@@ -48,9 +72,8 @@
 void StartLogging(const std::string& program, const std::string& instance,
                   LogTarget target) {
   static log4cplus::Initializer initializer;
-  const auto appender =
-      log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
-          target == LogTarget::kStandardError, true));
+  const auto appender = log4cplus::SharedAppenderPtr(new QueueAppender(
+      target == LogTarget::kStandardError ? STDERR_FILENO : STDOUT_FILENO));
   const std::string pattern =
       "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p program=" + program +
       " instance=" + Quoted(instance) + " %m%n";
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -82,12 +82,11 @@
                    .Register(registry_)) {
   const prometheus::Histogram::BucketBoundaries bounds{
       0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 5, 10};
-  for (const auto& [answer, name] :
-       {std::pair(StepAnswer::kCompleted, "completed"),
-        std::pair(StepAnswer::kFailed, "failed"),
-        std::pair(StepAnswer::kRefused, "refused"),
-        std::pair(StepAnswer::kAbandoned, "abandoned")}) {
-    histograms_[answer] = &family_->Add({{"answer", name}}, bounds);
+  for (const StepAnswer answer :
+       {StepAnswer::kCompleted, StepAnswer::kFailed, StepAnswer::kRefused,
+        StepAnswer::kAbandoned}) {
+    histograms_[answer] =
+        &family_->Add({{"answer", std::string(Name(answer))}}, bounds);
   }
 }
 
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -13,6 +13,7 @@
 constexpr Duration kKeepEnds{10'000};
 /// Rounding of sums of processor shares.
 constexpr double kEpsilon = 1e-6;
+constexpr int kAllDone = 100;  // In per cent.
 
 }  // namespace
 
@@ -163,6 +164,8 @@
   Attempt& attempt = attempts_[order.attempt];
   attempt.order = order;
   attempt.entry = entry;
+  attempt.received = now;
+  attempt.began = now;
   attempt.since = now;
   by_run_[order.run] = order.attempt;
   ++by_task_[order.run.task];
@@ -301,15 +304,17 @@
   if (--by_task_[attempt.order.run.task] == 0) {
     by_task_.erase(attempt.order.run.task);
   }
-  const bool ordinary = end == AttemptEnd::kDone || reason == "cancelled" ||
-                        attempt.state == State::kQueued;
-  if (!ordinary) {
-    Log(LogLevel::kInfo, "attempt_ended",
-        {{"task", attempt.order.run.task.value()},
-         {"run", std::to_string(attempt.order.run.run)},
-         {"reason", reason},
-         {"age_ms", std::to_string((now - attempt.since).ms())}});
-  }
+  const bool done = end == AttemptEnd::kDone;
+  Log(LogLevel::kInfo, done ? "run_done" : "run_not_done",
+      {{"task", attempt.order.run.task.value()},
+       {"run", std::to_string(attempt.order.run.run)},
+       {"end", std::string(Name(end))},
+       {"reason", reason},
+       {"estimate_ms", std::to_string(attempt.order.estimate.ms())},
+       {"queued_ms", std::to_string((attempt.began - attempt.received).ms())},
+       {"ran_ms", std::to_string((now - attempt.began).ms())},
+       {"percent", std::to_string(done ? kAllDone : attempt.percent)},
+       {"slowness", std::to_string(record_.slowness())}});
   const Incarnation entry = attempt.entry;
   attempts_.erase(found);
   report_due_ = true;
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -124,6 +124,7 @@
     State state = State::kQueued;
     TimePoint since;       ///< When it came into its state.
     TimePoint progressed;  ///< When its share done last rose.
+    TimePoint received;
     TimePoint began;
     int percent = 0;
     bool has_run = false;
--- /dev/null
+++ b/tests/bounded_log_test.cc
@@ -0,0 +1,54 @@
+#include "runtime/bounded_log.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+namespace geranium {
+namespace {
+
+class BoundedLogTest {
+ protected:
+  BoundedLogTest()
+      : log_([this](LogLevel /*level*/, const std::string& event,
+                    const LogFields& fields) {
+          ++written_[event];
+          for (const auto& [key, value] : fields) {
+            if (key == "left_out_before") left_out_ += std::stoul(value);
+          }
+        }) {}
+
+  void Write(const std::string& event, TimePoint now) {
+    log_.Write({LogLevel::kInfo, event, {{"job", "1"}}}, now);
+  }
+
+  BoundedLog log_;
+  std::map<std::string, std::size_t> written_;
+  std::size_t left_out_ = 0;
+};
+
+TEST_CASE_METHOD(BoundedLogTest,
+                 "BoundedLog a flood of one event is cut to its rate and "
+                 "counted") {
+  constexpr std::size_t kLines = 10'000;
+  for (std::size_t i = 0; i < kLines; ++i) {
+    Write("flood", TimePoint(1000 + static_cast<std::int64_t>(i) / 5));
+  }
+  // Two seconds long.
+  const auto most =
+      static_cast<std::size_t>(BoundedLog::kBurst + 2 * BoundedLog::kRate);
+  CHECK(written_["flood"] <= most);
+  CHECK(written_["flood"] + 1 >= most);
+  Write("flood", TimePoint(60'000));
+  CHECK(written_["flood"] + left_out_ == kLines + 1);
+}
+
+TEST_CASE_METHOD(BoundedLogTest,
+                 "BoundedLog a flood of one event hides no other event") {
+  for (int i = 0; i < 10'000; ++i) Write("flood", TimePoint(1000));
+  Write("worker_lost", TimePoint(1000));
+  CHECK(written_["worker_lost"] == 1);
+}
+
+}  // namespace
+}  // namespace geranium
--- /dev/null
+++ b/tests/line_writer_test.cc
@@ -0,0 +1,89 @@
+#include "runtime/line_writer.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <string>
+
+namespace geranium {
+namespace {
+
+class LineWriterTest {
+ protected:
+  LineWriterTest() {
+    // As all programs do; the writer's thread may outlive the pipe's reader.
+    std::signal(SIGPIPE, SIG_IGN);
+    REQUIRE(::pipe(ends_) == 0);
+    REQUIRE(::fcntl(ends_[0], F_SETFL, O_NONBLOCK) == 0);
+  }
+  ~LineWriterTest() {
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+
+  int sink() const { return ends_[1]; }
+
+  /// Reads until nothing has come for a while or `last` was read.
+  std::string ReadUntil(const std::string& last) const {
+    std::string text;
+    char bytes[4096];
+    pollfd wait{ends_[0], POLLIN, 0};
+    while (text.find(last) == std::string::npos && ::poll(&wait, 1, 5000) > 0) {
+      const ssize_t count = ::read(ends_[0], bytes, sizeof(bytes));
+      if (count > 0) text.append(bytes, static_cast<std::size_t>(count));
+    }
+    return text;
+  }
+
+ private:
+  int ends_[2] = {-1, -1};
+};
+
+TEST_CASE_METHOD(LineWriterTest, "LineWriter lines are written in order") {
+  LineWriter writer(sink());
+  for (int i = 0; i < 100; ++i) {
+    writer.Write("line " + std::to_string(i) + "\n");
+  }
+  const std::string text = ReadUntil("line 99\n");
+  CHECK(text.find("line 0\nline 1\nline 2\n") == 0);
+  CHECK(text.find("line 98\nline 99\n") != std::string::npos);
+}
+
+TEST_CASE_METHOD(LineWriterTest,
+                 "LineWriter with a reader that has stopped does not wait and "
+                 "says later how many lines were dropped") {
+  constexpr int kLines = 20'000;
+  LineWriter writer(sink());
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kLines; ++i) writer.Write(std::string(99, 'x') + "\n");
+  const auto took = std::chrono::steady_clock::now() - start;
+  // Writing 2 MB into a pipe that nobody reads would wait for ever.
+  CHECK(took < std::chrono::seconds(5));
+  std::string text = ReadUntil("no such text");
+  writer.Write("after\n");
+  text += ReadUntil("after\n");
+  const auto note = text.find("event=log_lines_dropped count=");
+  REQUIRE(note != std::string::npos);
+  const int dropped = std::stoi(text.substr(text.find("count=", note) + 6));
+  const auto kept =
+      std::count(text.begin(), text.begin() + static_cast<long>(note), '\n');
+  CHECK(kept + dropped == kLines);
+}
+
+TEST_CASE_METHOD(LineWriterTest,
+                 "LineWriter destroyed while its reader has stopped ends") {
+  const auto start = std::chrono::steady_clock::now();
+  {
+    LineWriter writer(sink());
+    for (int i = 0; i < 2000; ++i) writer.Write(std::string(99, 'x') + "\n");
+  }
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
+}
+
+}  // namespace
+}  // namespace geranium
