--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -48,7 +48,8 @@
 int StepEntryServer::Run() {
   const std::string& link_address = settings_.node.link_address;
   const std::vector<ListenOutcome> outcomes{
-      {link_address, links_.Listen(link_address)},
+      {settings_.link_listen_address,
+       links_.Listen(settings_.link_listen_address)},
       {settings_.caller_address, callers_.Listen(settings_.caller_address)},
       {settings_.ready_address, ready_.Listen(settings_.ready_address)},
       {settings_.metrics_address, metrics_.Listen(settings_.metrics_address)}};
--- a/src/settings/ini_values.cc
+++ b/src/settings/ini_values.cc
@@ -21,10 +21,8 @@
   return status == std::errc() && stop == end && port >= 1 && port <= 65535;
 }
 
-}  // namespace
-
-std::string ReadAddress(IniSection& section, const std::string& key) {
-  std::string address = section.Required(key);
+std::string CheckedAddress(IniSection& section, const std::string& key,
+                           std::string address) {
   if (!address.empty() && !IsAddress(address)) {
     section.Refuse(key, "is '" + address +
                             "'; allowed is an IP number, a colon and a port");
@@ -32,6 +30,17 @@
   return address;
 }
 
+}  // namespace
+
+std::string ReadAddress(IniSection& section, const std::string& key) {
+  return CheckedAddress(section, key, section.Required(key));
+}
+
+std::string ReadAddress(IniSection& section, const std::string& key,
+                        const std::string& fallback) {
+  return CheckedAddress(section, key, section.Text(key, fallback));
+}
+
 std::vector<std::string> ReadAddresses(IniSection& section,
                                        const std::string& key) {
   std::vector<std::string> addresses = section.List(key);
--- a/src/settings/ini_values.h
+++ b/src/settings/ini_values.h
@@ -12,6 +12,8 @@
 
 /// An IP number, a colon and a port; anything else is refused.
 std::string ReadAddress(IniSection& section, const std::string& key);
+std::string ReadAddress(IniSection& section, const std::string& key,
+                        const std::string& fallback);
 std::vector<std::string> ReadAddresses(IniSection& section,
                                        const std::string& key);
 Duration ReadMs(IniSection& section, const std::string& key, Duration fallback,
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -48,6 +48,8 @@
   IniSection entry = file.Section("entry");
   node.id = EntryId(entry.Required("id"));
   node.link_address = ReadAddress(entry, "link_address");
+  settings.link_listen_address =
+      ReadAddress(entry, "link_listen_address", node.link_address);
   node.scheduler.data_centre = DataCentreName(entry.Required("data_centre"));
   node.scheduler.cross_rack_factor =
       static_cast<double>(
--- a/src/settings/step_settings.h
+++ b/src/settings/step_settings.h
@@ -17,6 +17,8 @@
 /// The settings of `geranium-entry` on a platform.
 struct StepEntrySettings {
   StepEntryOptions node;
+  /// Where links are taken, if that is not the address that others dial.
+  std::string link_listen_address;
   std::string caller_address;
   std::string ready_address;
   std::string metrics_address;
--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -32,6 +33,8 @@
 constexpr auto kStep = std::chrono::milliseconds(5);
 /// Orders that get no answer are carried out this much later.
 constexpr auto kLate = std::chrono::milliseconds(2500);
+/// The platform's bound on starts at a worker that has said that it leaves.
+constexpr Duration kDrainLimit{2000};
 
 class Site {
  public:
@@ -61,6 +64,7 @@
     std::string agent;
     std::unique_ptr<Timer> heartbeat;
     bool down = false;
+    std::optional<TimePoint> draining_since;  ///< When the agent knew.
   };
 
   static void Check(const std::string& problem) {
@@ -101,7 +105,7 @@
       call.body = Json{
           {"service", self.service.value()},
           {"zone", self.data_centre.value()},
-          {"state", "ready"},
+          {"state", self.draining ? "draining" : "ready"},
           {"seq", self.sequence},
           {"labels", self.labels},
           {"clock-ms", self.clock_ms},
@@ -111,7 +115,14 @@
             {"mem-mb", self.capacity.memory_mb},
             {"gpu",
              0}}}}.dump();
-      client_.Start(std::move(call), [](const HttpOutcome&) {});
+      client_.Start(std::move(call), [this, &place, draining = self.draining](
+                                         const HttpOutcome& outcome) {
+        const bool taken = outcome.failure == HttpFailure::kNone &&
+                           outcome.response.status == 200;
+        if (taken && draining && !place.draining_since) {
+          place.draining_since = clock_.Now();
+        }
+      });
     }
     place.heartbeat->expires_after(kHeartbeat);
     place.heartbeat->async_wait([this, &place](const auto& error) {
@@ -159,10 +170,21 @@
         {self, run, "", body.at("deadline-ms").get<std::int64_t>(),
          fencing_token},
         clock_.Now());
-    if (outcome.reply == OrderReply::kAccepted) Judge(run);
+    if (outcome.reply == OrderReply::kAccepted) {
+      Judge(run);
+      JudgeStart(place, run);
+    }
     return outcome;
   }
 
+  void JudgeStart(const Place& place, const TaskRun& run) {
+    const std::string& task = run.task.value();
+    started_.insert(task.substr(0, task.find('.')));
+    const bool draining = place.draining_since &&
+                          clock_.Now() - *place.draining_since > kDrainLimit;
+    if (draining) violations_.push_back(task + " starts at a draining worker");
+  }
+
   void Judge(const TaskRun& run) {
     ++starts_;
     std::set<TaskName> running;
@@ -170,9 +192,10 @@
       if (place->down) continue;
       place->worker->Advance(clock_.Now());
       for (const TaskRun& each : place->worker->running()) {
-        if (!running.insert(each.task).second) {
-          violations_.push_back(each.task.value() + " runs twice");
-        }
+        if (running.insert(each.task).second) continue;
+        if (!twice_.insert(each).second) continue;
+        violations_.push_back(each.task.value() + " runs twice at " +
+                              std::to_string(clock_.Now().ms()) + " ms");
       }
       if (place->worker->in_use().cpu >
           place->worker->self().capacity.cpu + 1e-6) {
@@ -252,15 +275,20 @@
     if (path == "/stand-in/put") {
       store_.Put(body.at("key"), body.at("value"));
     } else if (path == "/stand-in/store") {
-      store_.SetUp(body.at("up"));
+      store_.SetUp(body.value("up", true));
+      store_.SetSilent(body.value("silent", false));
+      if (body.value("forget", false)) store_.Forget();
     } else if (path == "/stand-in/worker") {
       Place& place = *places_.at(body.at("worker").get<std::size_t>());
       place.worker->faults().unanswered = body.value("unanswered", 0.0);
       place.worker->faults().hangs = body.value("hangs", false);
+      place.worker->SetDraining(body.value("draining", false));
+      if (!body.value("draining", false)) place.draining_since.reset();
       if (body.value("restart", false)) place.worker->Restart(clock_.Now());
     }
-    exchange->Reply(
-        JsonResponse(200, {{"starts", starts_}, {"violations", violations_}}));
+    exchange->Reply(JsonResponse(200, {{"starts", starts_},
+                                       {"started", started_},
+                                       {"violations", violations_}}));
   }
 
   boost::asio::io_context& io_;
@@ -272,6 +300,8 @@
   std::map<TaskName, TaskTruth> truths_;
   std::mt19937_64 random_{1};
   std::uint64_t starts_ = 0;
+  std::set<std::string> started_;  ///< Ids of jobs.
+  std::set<TaskRun> twice_;        ///< That were found beside another.
   std::vector<std::string> violations_;
 };
 
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -47,7 +47,9 @@
 
 void PlatformStore::Serve(const ExchangePtr& exchange) {
   const HttpRequest& request = exchange->request();
-  if (!up_) {
+  if (silent_) {
+    silenced_.push_back(exchange);
+  } else if (!up_) {
     exchange->Reply(JsonResponse(503, Json::object()));
   } else if (request.path == "/-/log-newest") {
     exchange->Reply(Newest());
@@ -84,6 +86,14 @@
     exchange->Reply(JsonResponse(503, Json::object()));
     return;
   }
+  if (silent_) {
+    silenced_.push_back(exchange);
+    return;
+  }
+  if (from < first_) {
+    exchange->Reply(JsonResponse(410, {{"first", first_}}));
+    return;
+  }
   if (records_.size() <= from && std::chrono::steady_clock::now() < until) {
     auto timer = std::make_shared<Timer>(io_, kStep);
     timer->async_wait([this, timer, exchange, from, until](const auto& error) {
@@ -93,7 +103,7 @@
   }
   HttpResponse response;
   response.content_type = "application/octet-stream";
-  response.body = BigEndian(records_.size(), 8) + BigEndian(0, 8);
+  response.body = BigEndian(records_.size(), 8) + BigEndian(first_, 8);
   for (std::size_t i = from; i < records_.size(); ++i) {
     const auto& [key, value] = records_[i];
     const std::string content = static_cast<char>(key.size()) + key + value;
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "runtime/http_server.h"
 
@@ -23,6 +24,10 @@
     records_.emplace_back(key, value);
   }
   void SetUp(bool up) { up_ = up; }
+  /// While set, calls get no answer.
+  void SetSilent(bool silent) { silent_ = silent; }
+  /// Deletes all records but the newest of each key.
+  void Forget() { first_ = records_.size(); }
   void Serve(const ExchangePtr& exchange);
 
  private:
@@ -32,7 +37,11 @@
 
   boost::asio::io_context& io_;
   std::deque<std::pair<std::string, std::string>> records_;
+  std::size_t first_ = 0;  ///< The oldest record that can be read.
   bool up_ = true;
+  bool silent_ = false;
+  /// Kept, so that their connections stay open.
+  std::vector<ExchangePtr> silenced_;
 };
 
 }  // namespace geranium::standins
--- a/standins/sized_worker.h
+++ b/standins/sized_worker.h
@@ -53,6 +53,7 @@
 
   WorkerAnnouncement Announce(TimePoint now);
   WorkerFaults& faults() { return faults_; }
+  void SetDraining(bool draining) { self_.draining = draining; }
   std::vector<TaskRun> running() const;
   Resources in_use() const;
   const WorkerAnnouncement& self() const { return self_; }
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -6,94 +6,23 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "process/process_group.h"
-#include "process/process_site.h"
+#include "process/eventually.h"
+#include "process/step_site.h"
 
 namespace geranium::process {
 namespace {
 
-/// Two entries and three agents, with the workers and the operator's log of a
-/// modelled platform, all as real processes on loopback.
-class PlatformSite {
+using Json = nlohmann::json;
+
+/// Two entries and three agents, ready to serve.
+class PlatformSite : public StepSite {
  public:
   static constexpr int kEntries = 2;
   static constexpr int kWorkers = 3;
 
-  explicit PlatformSite(int port) : port_(port), processes_(port) {
-    std::string workers;
-    std::string agents;
-    for (int i = 0; i < kWorkers; ++i) {
-      workers += (i == 0 ? "" : ",") + Worker(i);
-      agents += (i == 0 ? "" : ",") + Registration(i);
-    }
-    processes_.Spawn("platform", {Program("platform-site"), "--store", Store(),
-                                  "--workers", workers, "--agents", agents});
-    for (int i = 0; i < kEntries; ++i) StartEntry(i);
-    for (int i = 0; i < kWorkers; ++i) StartAgent(i);
-    REQUIRE(Eventually([&] {
-      return Control("put", {{"key", "config"}, {"value", Manifest(3)}}) == 200;
-    }));
-    AwaitReady();
-  }
-
-  void StartEntry(int entry) {
-    const std::string name = "entry-" + std::to_string(entry);
-    processes_.Spawn(
-        name, {Program("geranium-entry"), "--set", "entry.id=" + name, "--set",
-               "entry.data_centre=north", "--set",
-               "entry.link_address=" + Link(entry), "--set",
-               "entry.caller_address=" + Callers(entry), "--set",
-               "entry.ready_address=" + Ready(entry), "--set",
-               "entry.metrics_address=" + EntryMetrics(entry), "--set",
-               "peers.entries=" + Link(0) + "," + Link(1), "--set",
-               "platform.store_address=" + Store()});
-  }
-
-  void StartAgent(int worker) {
-    const std::string name = "agent-" + std::to_string(worker);
-    processes_.Spawn(
-        name, {Program("geranium-agent"), "--set", "agent.id=" + name, "--set",
-               "agent.registration_address=" + Registration(worker), "--set",
-               "agent.worker_address=" + Worker(worker), "--set",
-               "agent.metrics_address=" + AgentMetrics(worker), "--set",
-               "peers.entries=" + Link(0) + "," + Link(1), "--set",
-               "platform.store_address=" + Store()});
-  }
-
-  void AwaitReady() {
-    for (int i = 0; i < kEntries; ++i) {
-      REQUIRE(Eventually([&] {
-        return Send(Ready(i), "GET", "/-/readyz", "").status == 200;
-      }));
-    }
-  }
-
-  HttpResponse Send(const std::string& address, const std::string& method,
-                    const std::string& target, const std::string& body) const {
-    HttpCall call;
-    call.address = address;
-    call.method = method;
-    call.target = target;
-    call.body = body;
-    call.headers["Host"] = "callers.example";
-    call.timeout = Duration(15'000);
-    const HttpOutcome outcome = Fetch(call);
-    HttpResponse none;
-    none.status = 0;
-    return outcome.failure == HttpFailure::kNone ? outcome.response : none;
-  }
-
-  HttpResponse Submit(int entry, const std::string& id, int work_ms,
-                      int tasks = 4) const {
-    const Json spec = {{"work_ms", work_ms}};
-    const Json job = {{"spec", spec.dump()},
-                      {"best-effort", true},
-                      {"steps",
-                       {{{"count", tasks},
-                         {"cpu", 1000},
-                         {"mem-mb", 16},
-                         {"estimated-ms", work_ms}}}}};
-    return Send(Callers(entry), "POST", "/desk/" + id, job.dump());
+  explicit PlatformSite(int port) : StepSite({port, kEntries, kWorkers}) {
+    REQUIRE(Eventually([&] { return Publish(Manifest(3)); }));
+    REQUIRE(Eventually([&] { return IsReady(); }));
   }
 
   std::future<HttpResponse> SubmitLater(int entry, const std::string& id,
@@ -102,51 +31,9 @@
                       [=, this] { return Submit(entry, id, work_ms, tasks); });
   }
 
-  int Control(const std::string& what, const Json& body) const {
-    return Send(Store(), "POST", "/stand-in/" + what, body.dump()).status;
-  }
-  Json Judge() const {
-    const HttpResponse response =
-        Send(Store(), "POST", "/stand-in/judge", "{}");
-    return Json::parse(response.body);
-  }
   void CheckPromises() const {
     CHECK(Judge().at("violations") == Json::array());
   }
-
-  static std::string Manifest(int version,
-                              const std::string& prefix = "/desk/") {
-    return Json{{"version", version},
-                {"routes",
-                 {{{"name", "r"},
-                   {"host", "callers.example"},
-                   {"path-prefix", prefix},
-                   {"service", "desk"},
-                   {"priority", 0},
-                   {"target-latency-ms", 500},
-                   {"slack-factor", 2.0},
-                   {"timeout-ms", 9000},
-                   {"max-attempts", 2}}}}}
-        .dump();
-  }
-
-  ProcessGroup& processes() { return processes_; }
-  std::string Store() const { return Address(0); }
-  std::string Link(int entry) const { return Address(10 + entry); }
-  std::string Callers(int entry) const { return Address(20 + entry); }
-  std::string Ready(int entry) const { return Address(30 + entry); }
-  std::string Registration(int worker) const { return Address(40 + worker); }
-  std::string EntryMetrics(int entry) const { return Address(60 + entry); }
-  std::string AgentMetrics(int worker) const { return Address(70 + worker); }
-  std::string Worker(int worker) const { return Address(50 + worker); }
-
- private:
-  std::string Address(int offset) const {
-    return "127.0.0.1:" + std::to_string(port_ + offset);
-  }
-
-  int port_;
-  ProcessGroup processes_;
 };
 
 void Sleep(int ms) {
--- a/tests/process/process_group.cc
+++ b/tests/process/process_group.cc
@@ -4,8 +4,9 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
-#include <catch2/catch.hpp>
+#include <stdexcept>
 
 extern char** environ;
 
@@ -21,7 +22,7 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, 1, output,
-                                   O_WRONLY | O_CREAT | O_TRUNC, 0600);
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
   pid_t pid = 0;
   const int error = posix_spawn(&pid, arguments[0], &actions, nullptr,
@@ -56,13 +57,25 @@
                          const std::vector<std::string>& words) {
   const std::string output =
       Program("process-test-" + std::to_string(port_) + "-" + name + ".log");
+  // A program that is started again goes on with its log.
+  if (spawned_.insert(name).second) (void)unlink(output.c_str());
   const pid_t pid = Launch(words, output.c_str());
-  REQUIRE(pid > 0);
+  if (pid <= 0) throw std::runtime_error("cannot start " + name);
   processes_[name] = pid;
 }
 
 void ProcessGroup::Signal(const std::string& name, int signal) {
-  REQUIRE(kill(processes_.at(name), signal) == 0);
+  if (kill(processes_.at(name), signal) != 0) {
+    throw std::runtime_error("cannot signal " + name);
+  }
+}
+
+bool ProcessGroup::HasExited(const std::string& name) const {
+  siginfo_t info{};
+  // The status stays to be collected by AwaitExit.
+  const int error = waitid(P_PID, static_cast<id_t>(processes_.at(name)), &info,
+                           WEXITED | WNOHANG | WNOWAIT);
+  return error == 0 && info.si_pid != 0;
 }
 
 int ProcessGroup::AwaitExit(const std::string& name) {
--- a/tests/process/process_group.h
+++ b/tests/process/process_group.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,12 +21,14 @@
 
   void Spawn(const std::string& name, const std::vector<std::string>& words);
   void Signal(const std::string& name, int signal);
+  bool HasExited(const std::string& name) const;
   /// The exit status; -1 if a signal ended it.
   int AwaitExit(const std::string& name);
 
  private:
   int port_;
   std::map<std::string, pid_t> processes_;
+  std::set<std::string> spawned_;
 };
 
 /// The path of a program that was built.
--- a/tests/process/process_site.cc
+++ b/tests/process/process_site.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <chrono>
-#include <thread>
 
 namespace geranium::process {
 namespace {
@@ -23,15 +21,6 @@
   return body.at("error").value("execution", "");
 }
 
-bool Eventually(const std::function<bool()>& holds, Duration patience) {
-  const TimePoint until = SystemClock().Now() + patience;
-  while (!holds()) {
-    if (SystemClock().Now() > until) return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return true;
-}
-
 ProcessSite::ProcessSite(int port) : port_(port), processes_(port) {
   processes_.Spawn("log", {Program("platform-log"), "--listen", Log()});
   for (int i = 1; i <= kEntries; ++i) StartEntry(i);
--- a/tests/process/process_site.h
+++ b/tests/process/process_site.h
@@ -1,7 +1,6 @@
 #ifndef GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
 #define GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
 
-#include <functional>
 #include <future>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -10,6 +9,7 @@
 
 #include "base/clock.h"
 #include "operator/site.h"
+#include "process/eventually.h"
 #include "process/process_group.h"
 #include "runtime/http_client.h"
 
@@ -86,10 +86,6 @@
   ProcessGroup processes_;
 };
 
-/// Waits until `holds`, for at most `patience`; the last value of it.
-bool Eventually(const std::function<bool()>& holds,
-                Duration patience = Duration(10'000));
-
 }  // namespace geranium::process
 
 #endif  // GERANIUM_TESTS_PROCESS_PROCESS_SITE_H_
--- /dev/null
+++ b/tests/process/step_site.cc
@@ -0,0 +1,156 @@
+#include "process/step_site.h"
+
+#include <algorithm>
+
+namespace geranium::process {
+namespace {
+
+/// From a port to the one where it is reached through a proxy.
+constexpr int kProxyOffset = 100;
+/// The operator's log is reached at ports of its own by each entry.
+constexpr int kStoreSeenOffset = 200;
+constexpr int kMostSeeds = 3;
+/// Longer than any job of the tests.
+constexpr Duration kCallTimeout{15'000};
+
+}  // namespace
+
+StepSite::StepSite(StepSiteOptions options)
+    : options_(options), processes_(options.port) {
+  std::string workers;
+  std::string agents;
+  for (int i = 0; i < options_.workers; ++i) {
+    workers += (i == 0 ? "" : ",") + Worker(i);
+    agents += (i == 0 ? "" : ",") + Seen(Registration(i));
+  }
+  processes_.Spawn("platform", {Program("platform-site"), "--store", Store(),
+                                "--workers", workers, "--agents", agents});
+  for (int i = 0; i < options_.entries; ++i) StartEntry(i);
+  for (int i = 0; i < options_.workers; ++i) StartAgent(i);
+}
+
+std::string StepSite::EntryName(int entry) {
+  return "entry-" + std::to_string(entry);
+}
+
+std::string StepSite::AgentName(int worker) {
+  return "agent-" + std::to_string(worker);
+}
+
+std::string StepSite::Address(int offset) const {
+  return "127.0.0.1:" + std::to_string(options_.port + offset);
+}
+
+std::string StepSite::Seen(const std::string& address) const {
+  if (!options_.is_proxied) return address;
+  const auto colon = address.rfind(':') + 1;
+  return address.substr(0, colon) +
+         std::to_string(std::stoi(address.substr(colon)) + kProxyOffset);
+}
+
+std::string StepSite::StoreSeenBy(int entry) const {
+  return options_.is_proxied ? Address(kStoreSeenOffset + entry) : Store();
+}
+
+std::string StepSite::Seeds() const {
+  std::string seeds;
+  for (int i = 0; i < std::min(options_.entries, kMostSeeds); ++i) {
+    seeds += (i == 0 ? "" : ",") + Seen(Link(i));
+  }
+  return seeds;
+}
+
+void StepSite::StartEntry(int entry) {
+  processes_.Spawn(
+      EntryName(entry),
+      {Program("geranium-entry"), "--set", "entry.id=" + EntryName(entry),
+       "--set", "entry.data_centre=north", "--set",
+       "entry.link_address=" + Seen(Link(entry)), "--set",
+       "entry.link_listen_address=" + Link(entry), "--set",
+       "entry.caller_address=" + Callers(entry), "--set",
+       "entry.ready_address=" + Ready(entry), "--set",
+       "entry.metrics_address=" + EntryMetrics(entry), "--set",
+       "peers.entries=" + Seeds(), "--set",
+       "platform.store_address=" + StoreSeenBy(entry)});
+}
+
+void StepSite::StartAgent(int worker) {
+  processes_.Spawn(
+      AgentName(worker),
+      {Program("geranium-agent"), "--set", "agent.id=" + AgentName(worker),
+       "--set", "agent.registration_address=" + Registration(worker), "--set",
+       "agent.worker_address=" + Seen(Worker(worker)), "--set",
+       "agent.metrics_address=" + AgentMetrics(worker), "--set",
+       "peers.entries=" + Seeds(), "--set",
+       "platform.store_address=" + Store()});
+}
+
+bool StepSite::Publish(const std::string& manifest) const {
+  return Control("put", {{"key", "config"}, {"value", manifest}}) == 200;
+}
+
+bool StepSite::IsReady() const {
+  for (int i = 0; i < options_.entries; ++i) {
+    if (Send(Ready(i), "GET", "/-/readyz", "").status != 200) return false;
+  }
+  return true;
+}
+
+HttpResponse StepSite::Send(const std::string& address,
+                            const std::string& method,
+                            const std::string& target,
+                            const std::string& body) const {
+  HttpCall call;
+  call.address = address;
+  call.method = method;
+  call.target = target;
+  call.body = body;
+  call.headers["Host"] = "callers.example";
+  call.timeout = kCallTimeout;
+  const HttpOutcome outcome = Fetch(call);
+  HttpResponse none;
+  none.status = 0;
+  return outcome.failure == HttpFailure::kNone ? outcome.response : none;
+}
+
+std::string StepSite::JobBody(int work_ms, int tasks) {
+  const Json spec = {{"work_ms", work_ms}};
+  return Json{{"spec", spec.dump()},
+              {"best-effort", true},
+              {"steps",
+               {{{"count", tasks},
+                 {"cpu", 1000},
+                 {"mem-mb", 16},
+                 {"estimated-ms", work_ms}}}}}
+      .dump();
+}
+
+HttpResponse StepSite::Submit(int entry, const std::string& id, int work_ms,
+                              int tasks) const {
+  return Send(Callers(entry), "POST", "/desk/" + id, JobBody(work_ms, tasks));
+}
+
+int StepSite::Control(const std::string& what, const Json& body) const {
+  return Send(Store(), "POST", "/stand-in/" + what, body.dump()).status;
+}
+
+StepSite::Json StepSite::Judge() const {
+  return Json::parse(Send(Store(), "POST", "/stand-in/judge", "{}").body);
+}
+
+std::string StepSite::Manifest(int version, const std::string& prefix) {
+  return Json{{"version", version},
+              {"routes",
+               {{{"name", "r"},
+                 {"host", "callers.example"},
+                 {"path-prefix", prefix},
+                 {"service", "desk"},
+                 {"priority", 0},
+                 {"target-latency-ms", 500},
+                 {"slack-factor", 2.0},
+                 {"timeout-ms", 9000},
+                 {"max-attempts", 2}}}}}
+      .dump();
+}
+
+}  // namespace geranium::process
--- /dev/null
+++ b/tests/process/step_site.h
@@ -0,0 +1,74 @@
+#ifndef GERANIUM_TESTS_PROCESS_STEP_SITE_H_
+#define GERANIUM_TESTS_PROCESS_STEP_SITE_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "process/process_group.h"
+#include "runtime/http_client.h"
+
+namespace geranium::process {
+
+struct StepSiteOptions {
+  int port = 0;  ///< The first of 300 that the site uses.
+  int entries = 2;
+  int workers = 3;
+  /// Processes reach each other at other ports, where something forwards.
+  bool is_proxied = false;
+};
+
+/// Entries and agents on a modelled platform, with its workers and its
+/// operator's log, all as real processes on loopback.
+class StepSite {
+ public:
+  using Json = nlohmann::json;
+
+  explicit StepSite(StepSiteOptions options);
+
+  void StartEntry(int entry);
+  void StartAgent(int worker);
+  bool Publish(const std::string& manifest) const;
+  /// Whether all entries are.
+  bool IsReady() const;
+
+  HttpResponse Send(const std::string& address, const std::string& method,
+                    const std::string& target, const std::string& body) const;
+  HttpResponse Submit(int entry, const std::string& id, int work_ms,
+                      int tasks = 4) const;
+  int Control(const std::string& what, const Json& body) const;
+  /// What the workers have seen: `starts`, `violations`.
+  Json Judge() const;
+
+  static std::string Manifest(int version,
+                              const std::string& prefix = "/desk/");
+  static std::string JobBody(int work_ms, int tasks);
+  static std::string EntryName(int entry);
+  static std::string AgentName(int worker);
+
+  ProcessGroup& processes() { return processes_; }
+  const StepSiteOptions& options() const { return options_; }
+
+  // Where the processes listen.
+  std::string Store() const { return Address(0); }
+  std::string Link(int entry) const { return Address(10 + entry); }
+  std::string Callers(int entry) const { return Address(20 + entry); }
+  std::string Ready(int entry) const { return Address(30 + entry); }
+  std::string Registration(int worker) const { return Address(40 + worker); }
+  std::string Worker(int worker) const { return Address(50 + worker); }
+  std::string EntryMetrics(int entry) const { return Address(60 + entry); }
+  std::string AgentMetrics(int worker) const { return Address(70 + worker); }
+  /// Where others reach what listens at `address`; for the log, entry by entry.
+  std::string Seen(const std::string& address) const;
+  std::string StoreSeenBy(int entry) const;
+
+ private:
+  std::string Address(int offset) const;
+  std::string Seeds() const;
+
+  StepSiteOptions options_;
+  ProcessGroup processes_;
+};
+
+}  // namespace geranium::process
+
+#endif  // GERANIUM_TESTS_PROCESS_STEP_SITE_H_
--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,235 @@
+#include "soak/fault_proxy.h"
+
+#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <stdexcept>
+#include <utility>
+
+namespace geranium::soak {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using Io = boost::asio::io_context;
+using boost::system::error_code;
+
+/// A silent path looks this often whether it has been healed.
+constexpr auto kHealedCheck = std::chrono::milliseconds(10);
+
+Tcp::endpoint ToEndpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  return {boost::asio::ip::make_address(address.substr(0, colon)),
+          static_cast<unsigned short>(std::stoi(address.substr(colon + 1)))};
+}
+
+// One forwarded connection: two pumps that share its end.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Io& io, Tcp::socket dialler, std::shared_ptr<PathFault> fault)
+      : dialler_(std::move(dialler)),
+        listener_(io),
+        out_(io),
+        back_(io),
+        fault_(std::move(fault)) {}
+
+  void Start(const Tcp::endpoint& target) {
+    listener_.async_connect(
+        target, [self = shared_from_this()](const error_code& error) {
+          if (error) {
+            self->Reset();
+            return;
+          }
+          error_code ignored;
+          self->listener_.set_option(Tcp::no_delay(true), ignored);
+          self->dialler_.set_option(Tcp::no_delay(true), ignored);
+          self->Pump(true);
+          self->Pump(false);
+        });
+  }
+
+  bool is_open() const { return dialler_.is_open(); }
+  /// From now on this connection has a fault of its own.
+  void Detach(const PathFault& fault) {
+    fault_ = std::make_shared<PathFault>(fault);
+  }
+
+  void Reset() {
+    for (Tcp::socket* socket : {&dialler_, &listener_}) {
+      error_code ignored;
+      socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+ private:
+  struct Direction {
+    explicit Direction(Io& io) : timer(io) {}
+    std::array<char, 16384> bytes{};
+    boost::asio::steady_timer timer;
+  };
+
+  bool IsSilent(bool out) const {
+    return out ? fault_->silent_out : fault_->silent_back;
+  }
+
+  void Pump(bool out) {
+    Direction& direction = out ? out_ : back_;
+    (out ? dialler_ : listener_)
+        .async_read_some(boost::asio::buffer(direction.bytes),
+                         [self = shared_from_this(), out](
+                             const error_code& error, std::size_t size) {
+                           if (error) {
+                             self->Finish(out);
+                           } else {
+                             self->Pass(out, size, self->fault_->delay);
+                           }
+                         });
+  }
+
+  void Pass(bool out, std::size_t size, Duration delay) {
+    Direction& direction = out ? out_ : back_;
+    if (IsSilent(out) || delay > Duration(0)) {
+      direction.timer.expires_after(
+          IsSilent(out) ? kHealedCheck : std::chrono::milliseconds(delay.ms()));
+      direction.timer.async_wait(
+          [self = shared_from_this(), out, size](const error_code& error) {
+            if (!error) self->Pass(out, size, Duration(0));
+          });
+      return;
+    }
+    boost::asio::async_write(
+        out ? listener_ : dialler_,
+        boost::asio::buffer(direction.bytes.data(), size),
+        [self = shared_from_this(), out](const error_code& error,
+                                         std::size_t /*size*/) {
+          if (error) {
+            self->Reset();
+          } else {
+            self->Pump(out);
+          }
+        });
+  }
+
+  // An end of sending is passed on; over a silent path it is not seen.
+  void Finish(bool out) {
+    if (IsSilent(out)) {
+      Direction& direction = out ? out_ : back_;
+      direction.timer.expires_after(kHealedCheck);
+      direction.timer.async_wait(
+          [self = shared_from_this(), out](const error_code& error) {
+            if (!error) self->Finish(out);
+          });
+      return;
+    }
+    error_code ignored;
+    (out ? listener_ : dialler_).shutdown(Tcp::socket::shutdown_send, ignored);
+    if (finished_) Reset();
+    finished_ = true;
+  }
+
+  Tcp::socket dialler_;
+  Tcp::socket listener_;
+  Direction out_;
+  Direction back_;
+  std::shared_ptr<PathFault> fault_;
+  bool finished_ = false;
+};
+
+}  // namespace
+
+class FaultProxy::Path : public std::enable_shared_from_this<Path> {
+ public:
+  Path(Io& io, const std::string& listen, const std::string& target)
+      : io_(io),
+        acceptor_(io, ToEndpoint(listen)),
+        target_(ToEndpoint(target)),
+        fault_(std::make_shared<PathFault>()) {}
+
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](const error_code& error,
+                                                       Tcp::socket socket) {
+      if (error) return;
+      auto connection = std::make_shared<Connection>(
+          self->io_, std::move(socket), self->fault_);
+      self->connections_.push_back(connection);
+      connection->Start(self->target_);
+      self->Accept();
+    });
+  }
+
+  void Set(const PathFault& fault) {
+    connections_.remove_if([](const auto& item) {
+      const auto connection = item.lock();
+      return connection == nullptr || !connection->is_open();
+    });
+    if (fault.one_connection) {
+      SetOne(fault);
+      return;
+    }
+    *fault_ = fault;
+    if (!fault.reset) return;
+    for (const auto& item : connections_) {
+      if (const auto connection = item.lock()) connection->Reset();
+    }
+  }
+
+  void Heal() {
+    *fault_ = PathFault{};
+    for (const auto& item : connections_) {
+      if (const auto connection = item.lock()) connection->Detach(PathFault{});
+    }
+  }
+
+ private:
+  void SetOne(const PathFault& fault) {
+    if (connections_.empty()) return;
+    const auto connection = connections_.front().lock();
+    connections_.splice(connections_.end(), connections_, connections_.begin());
+    if (connection == nullptr) return;
+    connection->Detach(fault);
+    if (fault.reset) connection->Reset();
+  }
+
+  Io& io_;
+  Tcp::acceptor acceptor_;
+  Tcp::endpoint target_;
+  std::shared_ptr<PathFault> fault_;
+  std::list<std::weak_ptr<Connection>> connections_;
+};
+
+FaultProxy::FaultProxy() {
+  thread_ = std::thread([this] {
+    const auto work = boost::asio::make_work_guard(io_);
+    io_.run();
+  });
+}
+
+FaultProxy::~FaultProxy() {
+  io_.stop();
+  thread_.join();
+}
+
+void FaultProxy::Forward(const std::string& listen, const std::string& target) {
+  const auto path = std::make_shared<Path>(io_, listen, target);
+  paths_[listen] = path;
+  boost::asio::post(io_, [path] { path->Accept(); });
+}
+
+void FaultProxy::SetFault(const std::string& listen, const PathFault& fault) {
+  boost::asio::post(io_,
+                    [path = paths_.at(listen), fault] { path->Set(fault); });
+}
+
+void FaultProxy::HealAll() {
+  for (const auto& [listen, path] : paths_) {
+    boost::asio::post(io_, [path = path] { path->Heal(); });
+  }
+}
+
+}  // namespace geranium::soak
--- /dev/null
+++ b/tests/soak/process_soak_main.cc
@@ -0,0 +1,89 @@
+// The proof on real processes, seed after seed.
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "soak/process_soak.h"
+
+namespace {
+
+using geranium::Duration;
+using geranium::soak::ProcessSoakOptions;
+using geranium::soak::ProcessSoakReport;
+
+/// Each third seed has planned work only, which must cut off nothing.
+constexpr std::uint64_t kPlannedEvery = 3;
+constexpr int kExitUsage = 64;
+
+// True if nothing was violated.
+bool RunSeed(ProcessSoakOptions options) {
+  options.is_planned = options.seed % kPlannedEvery == 0;
+  const ProcessSoakReport report = geranium::soak::RunProcessSoak(options);
+  std::cout << "seed " << options.seed
+            << (options.is_planned ? " (planned work only)" : "") << ": "
+            << report.completed << " completed, " << report.refused
+            << " refused, " << report.sent_again << " sent again, "
+            << report.events.size() << " faults, " << report.violations.size()
+            << " violations" << std::endl;
+  if (report.violations.empty()) return true;
+  for (const std::string& event : report.events) {
+    std::cout << "  " << event << "\n";
+  }
+  for (const std::string& violation : report.violations) {
+    std::cout << "  VIOLATION " << violation << "\n";
+  }
+  return false;
+}
+
+int Run(int argc, char** argv) {
+  cxxopts::Options options("geranium-process-soak",
+                           "Strikes real processes with faults.");
+  options.add_options()("h,help", "print this page")(
+      "seed", "the first seed",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seeds", "number of seeds", cxxopts::value<int>()->default_value("1"))(
+      "seconds", "length of the part with faults",
+      cxxopts::value<int>()->default_value("8"))(
+      "entries", "number of entries",
+      cxxopts::value<int>()->default_value("3"))(
+      "workers", "number of workers",
+      cxxopts::value<int>()->default_value("5"))(
+      "callers", "number of callers",
+      cxxopts::value<int>()->default_value("12"))(
+      "port", "the first of 300 ports on loopback",
+      cxxopts::value<int>()->default_value("28000"));
+  const auto parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help() << "\n";
+    return 0;
+  }
+  ProcessSoakOptions soak;
+  soak.seed = parsed["seed"].as<std::uint64_t>();
+  soak.length = Duration(parsed["seconds"].as<int>() * 1000);
+  soak.entries = parsed["entries"].as<int>();
+  soak.workers = parsed["workers"].as<int>();
+  soak.callers = parsed["callers"].as<int>();
+  soak.port = parsed["port"].as<int>();
+  if (soak.entries < 1 || soak.entries > 10 || soak.workers < 1 ||
+      soak.workers > 10) {
+    std::cerr << "geranium-process-soak: 1 to 10 entries and workers\n";
+    return kExitUsage;
+  }
+  int failed = 0;
+  for (int i = 0; i < parsed["seeds"].as<int>(); ++i, ++soak.seed) {
+    failed += RunSeed(soak) ? 0 : 1;
+  }
+  std::cout << failed << " seeds failed\n";
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "geranium-process-soak: " << error.what() << "\n";
+    return 1;
+  }
+}
