--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -78,18 +78,20 @@
     });
   }
 
-  asio::awaitable<HttpResponse> Wait() {
-    while (!response_) {
+  /// Nothing if the caller has gone before.
+  asio::awaitable<std::optional<HttpResponse>> Wait() {
+    while (!response_ && !gone_) {
       beast::error_code ignored;
       co_await answered_.async_wait(
           asio::redirect_error(asio::use_awaitable, ignored));
     }
-    on_gone_ = nullptr;
-    co_return std::move(*response_);
+    if (response_) on_gone_ = nullptr;
+    co_return std::move(response_);
   }
 
   void Gone() {
     gone_ = true;
+    answered_.cancel();
     if (on_gone_ && !response_) std::exchange(on_gone_, nullptr)();
   }
 
@@ -181,19 +183,21 @@
       const bool kept_alive = message.keep_alive();
       const unsigned version = message.version();
       ++self->unanswered_;
-      const HttpResponse response =
+      std::optional<HttpResponse> response =
           co_await Handle(self, stream, ToRequest(std::move(message)));
-      const bool keep = kept_alive && !self->stopping_;
-      const bool written = co_await Write(stream, response, version, keep);
+      const bool keep = response && kept_alive && !self->stopping_;
+      const bool written =
+          response &&
+          co_await Write(stream, std::move(*response), version, keep);
       --self->unanswered_;
       if (!written || !keep) break;
     }
     co_await Finish(stream);
   }
 
-  static asio::awaitable<HttpResponse> Handle(std::shared_ptr<Impl> self,
-                                              beast::tcp_stream& stream,
-                                              HttpRequest request) {
+  static asio::awaitable<std::optional<HttpResponse>> Handle(
+      std::shared_ptr<Impl> self, beast::tcp_stream& stream,
+      HttpRequest request) {
     auto exchange = std::make_shared<Exchange>(self->io_, std::move(request));
     // While the request is worked on, a reset shows as an error condition;
     // the end of the caller's sending does not.
@@ -216,7 +220,7 @@
           });
     }
     self->handler_(exchange);
-    HttpResponse response = co_await exchange->Wait();
+    std::optional<HttpResponse> response = co_await exchange->Wait();
     beast::error_code ignored;
     stream.socket().cancel(ignored);
     co_return response;
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -1,5 +1,6 @@
 #include <signal.h>
 
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
@@ -167,5 +168,30 @@
   CHECK(site.processes().AwaitExit("agent-0") == 0);
 }
 
+// A caller that hangs up leaves nothing behind that the entry would wait for.
+TEST_CASE("Platform an entry whose callers have gone ends at once when told") {
+  PlatformSite site(28'900);
+  {
+    boost::asio::io_context io;
+    HttpClient client(io);
+    HttpCall call;
+    call.address = site.Callers(0);
+    call.method = "POST";
+    call.target = "/desk/00000000000000ab";
+    call.headers["Host"] = "callers.example";
+    call.body = StepSite::JobBody(3000, 2);
+    call.timeout = Duration(300);
+    client.Start(std::move(call), [](const HttpOutcome&) {});
+    io.run();
+  }
+  REQUIRE(Eventually([&] {
+    const std::string metrics =
+        site.Send(site.EntryMetrics(0), "GET", "/metrics", "").body;
+    return metrics.find("geranium_step_cancelled_total 1") != std::string::npos;
+  }));
+  site.processes().Signal("entry-0", SIGTERM);
+  CHECK(site.processes().AwaitExit("entry-0") == 0);
+}
+
 }  // namespace
 }  // namespace geranium::process
