--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -167,8 +167,7 @@
 bool StepScheduler::IsQueueTooLong(const Job& job, const Backlog& backlog,
                                    TimePoint now) const {
   if (learning_ || now + backlog.in_time <= job.latest_start) return false;
-  return now + backlog.all >
-         now + (job.start_deadline - now) * options_.late_percent / 100;
+  return backlog.all > (job.start_deadline - now) * options_.late_percent / 100;
 }
 
 void StepScheduler::MoveLateJobs(TimePoint now) {
--- /dev/null
+++ b/src/worker/worker_session_orders.cc
@@ -0,0 +1,234 @@
+#include <algorithm>
+#include <utility>
+
+#include "worker/worker_session.h"
+
+namespace geranium {
+namespace {
+
+/// Rounding of sums of processor shares.
+constexpr double kEpsilon = 1e-6;
+constexpr int kAllDone = 100;  // In per cent.
+
+}  // namespace
+
+bool WorkerSession::IsFresh(const Entry& entry, TimePoint now) const {
+  return entry.linked && now - entry.proved <= kEntrySilence;
+}
+
+bool WorkerSession::IsAccepting(TimePoint now) const {
+  return worker_ && settled_ && !left_ && !leaving_ && !worker_->draining &&
+         now - answered_ < kWorkerSilence;
+}
+
+bool WorkerSession::HasRoom(const Resources& size) const {
+  const Resources& capacity = worker_->capacity;
+  return in_use_.cpu + size.cpu <= capacity.cpu + kEpsilon &&
+         in_use_.memory_mb + size.memory_mb <= capacity.memory_mb &&
+         in_use_.accelerators + size.accelerators <= capacity.accelerators;
+}
+
+WorkerSession::Attempt* WorkerSession::FindByRun(const TaskRun& run) {
+  const auto found = by_run_.find(run);
+  return found == by_run_.end() ? nullptr : &attempts_.at(found->second);
+}
+
+std::string WorkerSession::RefuseOrder(const Peer& peer, const Entry& entry,
+                                       const StartTask& order,
+                                       TimePoint now) const {
+  if (peer.releasing) return "the link is being given up";
+  if (!IsFresh(entry, now)) return "the entry's link is not fresh";
+  if (!IsAccepting(now)) return "the worker takes no orders";
+  if (by_task_.contains(order.run.task)) return "another run of it is here";
+  if (!worker_->capacity.Holds(order.size)) return "it does not fit";
+  return "";
+}
+
+void WorkerSession::On(LinkId link, const StartTask& order, TimePoint now) {
+  Peer& peer = peers_[link];
+  peer.cpu_received += order.size.cpu;
+  if (!peer.hello || attempts_.contains(order.attempt)) return;
+  const Incarnation entry = peer.hello->incarnation;
+  // What comes late over a link that has been replaced was given up.
+  if (entries_[entry].link != link) return;
+  ++counters_.orders;
+  report_due_ = true;
+  const std::string refusal = RefuseOrder(peer, entries_[entry], order, now);
+  if (!refusal.empty()) {
+    ++counters_.returned;
+    Tell(entry, TaskEnd{order.attempt, AttemptEnd::kNotStarted, refusal});
+    return;
+  }
+  Attempt& attempt = attempts_[order.attempt];
+  attempt.order = order;
+  attempt.entry = entry;
+  attempt.received = now;
+  attempt.began = now;
+  attempt.since = now;
+  by_run_[order.run] = order.attempt;
+  ++by_task_[order.run.task];
+  StartQueued(now);
+}
+
+// The most urgent first; among equals the oldest. A large task at the head is
+// not overtaken for long: it is returned when it has waited.
+void WorkerSession::StartQueued(TimePoint now) {
+  if (!IsAccepting(now)) return;
+  std::vector<Attempt*> queue;
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.state == State::kQueued) queue.push_back(&attempt);
+  }
+  std::sort(queue.begin(), queue.end(), [](const Attempt* a, const Attempt* b) {
+    return std::pair(a->order.priority, a->since) <
+           std::pair(b->order.priority, b->since);
+  });
+  for (Attempt* attempt : queue) {
+    if (HasRoom(attempt->order.size)) Start(*attempt, now);
+  }
+}
+
+void WorkerSession::Start(Attempt& attempt, TimePoint now) {
+  in_use_ += attempt.order.size;
+  attempt.state = State::kStarting;
+  attempt.since = now;
+  attempt.began = now;
+  attempt.progressed = now;
+  lease_end_ = std::max(lease_end_, now + kLease);
+  ++counters_.starts;
+  actions_.emplace_back(StartRun{worker_->id, attempt.order.run,
+                                 attempt.order.payload, LeaseUntil(now),
+                                 fencing_token_});
+}
+
+void WorkerSession::OnStartEnded(const TaskRun& run,
+                                 const OrderOutcome& outcome, TimePoint now) {
+  Attempt* attempt = FindByRun(run);
+  if (outcome.clock_ms) {
+    answered_ = now;
+    clock_offset_ms_ = *outcome.clock_ms - now.ms();
+  }
+  if (attempt == nullptr || attempt->state != State::kStarting) return;
+  const AttemptId id = attempt->order.attempt;
+  const auto give_back = [&](AttemptEnd end, const std::string& reason) {
+    ++counters_.returned;
+    End(id, end, reason, now);
+  };
+  switch (outcome.reply) {
+    case OrderReply::kAccepted:
+      attempt->state = State::kRunning;
+      attempt->since = now;
+      attempt->has_run = true;
+      break;
+    case OrderReply::kNoAnswer:
+      ++counters_.in_doubt;
+      lost_answer_ = now;
+      attempt->state = State::kInDoubt;
+      attempt->since = now;
+      // Does no harm if the order was not carried out, and keeps it from being
+      // carried out later.
+      Stop(*attempt, "in doubt", now);
+      Log(LogLevel::kWarning, "start_unanswered",
+          {{"task", run.task.value()}, {"message", outcome.message}});
+      break;
+    case OrderReply::kFenced:
+      // The next poll raises the token, if this was not one of our own older
+      // ones.
+      give_back(AttemptEnd::kNotStarted, "fenced");
+      break;
+    case OrderReply::kSuperseded:
+      give_back(AttemptEnd::kSuperseded, "a higher run is known");
+      break;
+    case OrderReply::kUnhealthy:
+      record_.CountOutcome(true);
+      give_back(AttemptEnd::kNotStarted, "the worker is unhealthy");
+      break;
+    case OrderReply::kExpired:
+      give_back(AttemptEnd::kNotStarted, "the lease had run out");
+      break;
+    case OrderReply::kNoRoom:
+      give_back(AttemptEnd::kNotStarted, "no room");
+      break;
+    case OrderReply::kOtherIncarnation:
+      give_back(AttemptEnd::kNotStarted, "another incarnation of the worker");
+      break;
+    case OrderReply::kMalformed:
+      give_back(AttemptEnd::kNotStarted, "refused: " + outcome.message);
+      break;
+  }
+}
+
+void WorkerSession::On(LinkId /*link*/, const StopTask& order, TimePoint now) {
+  const auto found = attempts_.find(order.attempt);
+  if (found != attempts_.end()) Stop(found->second, "cancelled", now);
+}
+
+void WorkerSession::Stop(Attempt& attempt, const std::string& reason,
+                         TimePoint now) {
+  if (attempt.state == State::kQueued) {
+    End(attempt.order.attempt, AttemptEnd::kNotStarted, reason, now);
+    return;
+  }
+  if (attempt.state == State::kStopping) return;
+  ++counters_.stops;
+  attempt.state = State::kStopping;
+  attempt.since = now;
+  attempt.stop_reason = reason;
+  SendStop(attempt, now);
+}
+
+void WorkerSession::SendStop(Attempt& attempt, TimePoint now) {
+  attempt.stop_sent = now;
+  actions_.emplace_back(
+      StopRun{worker_->id, attempt.order.run, fencing_token_});
+}
+
+void WorkerSession::OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
+                                TimePoint now) {
+  Attempt* attempt = FindByRun(run);
+  if (attempt == nullptr || attempt->state != State::kStopping) return;
+  if (outcome.reply == OrderReply::kAccepted) {
+    if (attempt->stop_accepted) return;
+    attempt->stop_accepted = now;
+    if (!attempt->has_run) Look(now + Duration(1));
+  }
+}
+
+void WorkerSession::End(const AttemptId& id, AttemptEnd end,
+                        const std::string& reason, TimePoint now) {
+  const auto found = attempts_.find(id);
+  Attempt& attempt = found->second;
+  if (attempt.state != State::kQueued) in_use_ -= attempt.order.size;
+  by_run_.erase(attempt.order.run);
+  if (--by_task_[attempt.order.run.task] == 0) {
+    by_task_.erase(attempt.order.run.task);
+  }
+  const bool done = end == AttemptEnd::kDone;
+  Log(LogLevel::kInfo, done ? "run_done" : "run_not_done",
+      {{"task", attempt.order.run.task.value()},
+       {"run", std::to_string(attempt.order.run.run)},
+       {"end", std::string(Name(end))},
+       {"reason", reason},
+       {"estimate_ms", std::to_string(attempt.order.estimate.ms())},
+       {"queued_ms", std::to_string((attempt.began - attempt.received).ms())},
+       {"ran_ms", std::to_string((now - attempt.began).ms())},
+       {"percent", std::to_string(done ? kAllDone : attempt.percent)},
+       {"slowness", std::to_string(record_.slowness())}});
+  const Incarnation entry = attempt.entry;
+  attempts_.erase(found);
+  report_due_ = true;
+  Tell(entry, TaskEnd{id, end, reason});
+}
+
+void WorkerSession::Tell(Incarnation entry, const TaskEnd& end) {
+  Entry& known = entries_[entry];
+  known.unacknowledged[end.attempt] = end;
+  if (known.linked) Send(known.link, end);
+}
+
+void WorkerSession::On(LinkId link, const TaskEndAck& ack, TimePoint /*now*/) {
+  const Peer& peer = peers_[link];
+  if (!peer.hello) return;
+  entries_[peer.hello->incarnation].unacknowledged.erase(ack.attempt);
+}
+
+}  // namespace geranium
