--- /dev/null
+++ b/tests/step_world_faults_test.cc
@@ -0,0 +1,166 @@
+#include "step_world_fixture.h"
+
+namespace geranium::standins {
+namespace {
+
+// All entries and agents lose power; the agents are back one after the other.
+// The queue of the first moments is not one that the site cannot serve.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld all restarted under load, while workers are linked "
+                 "again no job is refused at once") {
+  StepWorldOptions options = Options(1);
+  StepWorld world(options);
+  world.At(TimePoint(3000), [&] {
+    for (int i = 0; i < options.entries; ++i) {
+      world.KillEntry(i, Duration(500));
+    }
+    for (int i = 0; i < options.workers; ++i) {
+      world.KillAgent(i, Duration(550 + 60 * i));
+    }
+  });
+  world.Run(TimePoint(6000));
+  world.Run(TimePoint(12'000), false);
+  for (const auto& [name, report] : world.Report()) {
+    CAPTURE(name, report.asked, report.late, report.refused);
+    CHECK(report.refused_at_once == 0);
+  }
+  CheckPromises(world);
+  CHECK(world.Unanswered() == std::vector<std::string>());
+}
+
+// Callers do not come back: a late answer is worth a fifth, a refusal nothing.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld at 1.43 times the load, few are refused who could "
+                 "still be served late") {
+  int asked = 0;
+  int refused = 0;
+  double worth = 0;
+  constexpr int kSeeds = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    StepWorld world(Options(1.43, seed));
+    world.Run(TimePoint(6600));
+    world.Run(TimePoint(10'000), false);
+    for (const auto& [name, report] : world.Report()) {
+      asked += report.asked;
+      refused += report.refused;
+    }
+    worth += world.Worth() / kSeeds;
+    CheckPromises(world);
+  }
+  CAPTURE(asked, refused, worth);
+  CHECK(refused * 400 < asked);
+  CHECK(worth > kTargetWorth);
+}
+
+/// Strikes `world` with fourteen faults drawn from the seed.
+void PlanRandomFaults(StepWorld& world, const StepWorldOptions& options) {
+  Random random(options.seed * 977);
+  for (int i = 0; i < 14; ++i) {
+    const TimePoint when(1700 + static_cast<std::int64_t>(random.Below(5000)));
+    const int worker = static_cast<int>(
+        random.Below(static_cast<std::size_t>(options.workers)));
+    const int entry = static_cast<int>(
+        random.Below(static_cast<std::size_t>(options.entries)));
+    const Duration span(20 + static_cast<std::int64_t>(random.Below(3000)));
+    const std::size_t kind = random.Below(9);
+    const int entries = options.entries;
+    world.At(when, [&world, worker, entry, span, kind, entries] {
+      switch (kind) {
+        case 0:
+          return world.KillAgent(worker, span);
+        case 1:
+          return world.FreezeAgent(worker, span);
+        case 2:
+          return world.RestartWorker(worker, span);
+        case 3:
+          return world.KillEntry(entry, span);
+        case 4:
+          return world.FreezeEntry(entry, span);
+        case 5:
+          return world.CutAgent(worker, span);
+        case 6:
+          return world.CutEntries(entry, (entry + 1) % entries, span);
+        case 7:
+          world.faults(worker).unanswered = 0.1;
+          return;
+        default:
+          return world.CutEntries(entry, entries + worker, span);
+      }
+    });
+  }
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld random faults in series: the promises hold") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    const StepWorldOptions options = Options(kOrdinary, seed);
+    StepWorld world(options);
+    PlanRandomFaults(world, options);
+    world.Run(TimePoint(8000));
+    world.Run(TimePoint(20'000), false);
+    CAPTURE(seed);
+    CheckPromises(world);
+    CHECK(world.Unanswered() == std::vector<std::string>());
+  }
+}
+
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld random faults with more entries than links: the "
+                 "promises hold and links come back to their number") {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    StepWorldOptions options = Options(2 * kOrdinary, seed);
+    options.entries = 9;
+    options.workers = 22;
+    StepWorld world(options);
+    PlanRandomFaults(world, options);
+    world.Run(TimePoint(8000));
+    world.Run(TimePoint(20'000), false);
+    CAPTURE(seed);
+    CheckPromises(world);
+    CHECK(world.Unanswered() == std::vector<std::string>());
+    for (int i = 0; i < options.workers; ++i) {
+      CAPTURE(i);
+      CHECK(world.session(i).linked_entries() == options.entry_links);
+    }
+  }
+}
+
+// With every agent linked to all of 14 entries, 0.93 of the worth was earned:
+// entries that see the same free room order into it at once.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld many entries at 1.3 times the load, few links to "
+                 "each worker keep orders from colliding") {
+  StepWorldOptions options = Options(8);
+  options.entries = 14;
+  options.workers = 76;
+  StepWorld world(options);
+  world.Run(TimePoint(5000));
+  world.Run(TimePoint(9000), false);
+  CHECK(world.Worth() > 0.97);
+  CheckPromises(world);
+}
+
+// The entries take turns in being away, so that their agents give up links
+// over which orders come.
+TEST_CASE_METHOD(StepWorldTest,
+                 "StepWorld links are given up under load without loss") {
+  StepWorldOptions options = Options(2 * kOrdinary);
+  options.entries = 9;
+  options.workers = 22;
+  StepWorld world(options);
+  for (int i = 0; i < 3; ++i) {
+    world.At(TimePoint(2000 + 3000 * i),
+             [&world, i] { world.KillEntry(i, Duration(1800)); });
+  }
+  world.Run(TimePoint(12'000));
+  world.Run(TimePoint(18'000), false);
+  CHECK(world.CountNotes("entry_released") > 0);
+  // Work over a link that was given up is not lost with it.
+  CHECK(world.CountNotes("worker_lost") == 0);
+  CHECK(world.Worth() > 0.9);
+  CheckPromises(world);
+  CHECK(world.Unanswered() == std::vector<std::string>());
+}
+
+}  // namespace
+}  // namespace geranium::standins
--- /dev/null
+++ b/tests/step_world_fixture.h
@@ -0,0 +1,71 @@
+#ifndef GERANIUM_TESTS_STEP_WORLD_FIXTURE_H_
+#define GERANIUM_TESTS_STEP_WORLD_FIXTURE_H_
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "step_world.h"
+
+namespace geranium::standins {
+
+/// What a mean day is to be worth on the users' grown sites; the smaller one.
+inline constexpr double kTargetWorth = 0.69;
+/// Load of an ordinary day, against the users' ordinary rates.
+inline constexpr double kOrdinary = 0.7;
+
+class StepWorldTest {
+ protected:
+  static StepWorldOptions Options(double factor, std::uint64_t seed = 1) {
+    StepWorldOptions options;
+    options.seed = seed;
+    options.load = UsersLoad(factor);
+    return options;
+  }
+
+  static StepWorldOptions WithoutLoad(std::uint64_t seed = 1) {
+    StepWorldOptions options;
+    options.seed = seed;
+    options.load = UsersLoad(0);
+    return options;
+  }
+
+  static LoadClass Long() {
+    LoadClass kind = UsersLoad(0)[1];
+    kind.spread = 0;
+    return kind;
+  }
+
+  /// Some long jobs at every entry, once the processes are linked.
+  static std::vector<int> SubmitLongJobs(StepWorld& world) {
+    world.Run(TimePoint(1600));
+    std::vector<int> jobs;
+    for (int i = 0; i < 12; ++i) jobs.push_back(world.Submit(i % 4, Long()));
+    return jobs;
+  }
+
+  static void CheckCompleted(const StepWorld& world,
+                             const std::vector<int>& jobs) {
+    CHECK(world.Unanswered() == std::vector<std::string>());
+    for (const int job : jobs) CHECK(world.IsCompleted(job));
+    CheckPromises(world);
+  }
+
+  static void CheckPromises(const StepWorld& world) {
+    for (const std::string& line : world.log) UNSCOPED_INFO(line);
+    for (const std::string& violation : world.violations()) {
+      UNSCOPED_INFO(violation);
+    }
+    CHECK(world.violations().empty());
+  }
+
+  static int Asked(const StepWorld& world) {
+    int asked = 0;
+    for (const auto& [name, report] : world.Report()) asked += report.asked;
+    return asked;
+  }
+};
+
+}  // namespace geranium::standins
+
+#endif  // GERANIUM_TESTS_STEP_WORLD_FIXTURE_H_
