--- a/src/runtime/line_writer.h
+++ b/src/runtime/line_writer.h
@@ -13,7 +13,7 @@
 class LineWriter {
  public:
   /// Some seconds of log lines at their highest rate.
-  static constexpr std::size_t kBufferBytes = 256 * 1024;
+  static constexpr std::size_t kBufferBytes = std::size_t{256} * 1024;
 
   explicit LineWriter(int descriptor, std::size_t buffer_bytes = kBufferBytes);
   /// Waits a moment for what is buffered to be written.
--- a/tests/process/end_process_program.cc
+++ b/tests/process/end_process_program.cc
@@ -11,7 +11,7 @@
   ~Stuck() { std::this_thread::sleep_for(std::chrono::minutes(5)); }
 };
 
-const Stuck stuck;
+const Stuck kStuck;
 
 }  // namespace
 
