Deliver no answer of the log to the successor of a process in the randomised proof

Cause of the violation of (a start in a data centre that was out for 3.011 s): the modelled log's answer to an entry that had been killed reached its successor, whose clock is another one. Its confirmation then lay 6,693 s in the future and went round between the two entries. A connection ends with its process, so no real answer does that. Ruled out: the log's tail without a base; the rule for outages (it was stop). Change: the model drops such answers, of backends' probes too. The check stays as it is; the seed joins the fixed ones and fails without the change.

--- a/tests/soak/world_services.cc
+++ b/tests/soak/world_services.cc
@@ -74,7 +74,9 @@
   const BackendFault fault = process(index).backend;
   const bool answers =
       fault != BackendFault::kFrozen && fault != BackendFault::kRefuses;
-  At(Duration(5), [this, index, answers] {
+  const std::uint64_t generation = process(index).generation;
+  At(Duration(5), [this, index, generation, answers] {
+    if (process(index).generation != generation) return;
     Deliver(index, [answers](Process& reached, TimePoint now) {
       reached.agent->OnProbeEnded(answers, now);
     });
@@ -133,7 +135,9 @@
     LogStore& store = log_[static_cast<std::size_t>(stream)];
     store.Expire(now_);
     const LogBatch batch = store.Read(from, kMostRecords, now_);
-    At(LogDelay(), [this, index, stream, sent_at, batch, again] {
+    At(LogDelay(), [this, index, generation, stream, sent_at, batch, again] {
+      // An answer to a process that has ended reaches nobody.
+      if (process(index).generation != generation) return;
       Deliver(index, [stream, sent_at, batch](Process& reached, TimePoint now) {
         reached.entry->OnLogRead(stream, batch, sent_at, now);
       });
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -27,9 +27,10 @@
 }
 
 // Refusals of used keys: 5, 10 and 50; a change that was not in force at the
-// end, since no entry could begin on the log: 56.
+// end, since no entry could begin on the log: 56. The log's answer to a process
+// that was killed reached its successor, a fault of the world: 918872.
 TEST_CASE_METHOD(SoakTest, "Soak seeds that once failed keep every promise") {
-  for (const std::uint64_t seed : {5, 10, 50, 56}) RunSeeds(seed, seed);
+  for (const std::uint64_t seed : {5, 10, 50, 56, 918872}) RunSeeds(seed, seed);
 }
 
 TEST_CASE_METHOD(SoakTest, "Soak same seed gives the same run") {
