--- a/tests/soak/process_soak.cc
+++ b/tests/soak/process_soak.cc
@@ -294,9 +294,9 @@
   }
 
   void StrikeWorker(int worker, Duration span) {
-    static const std::vector<std::string> kKinds = {"restart", "unanswered",
-                                                    "draining", "hangs"};
-    const std::string& kind = kKinds[random_.Below(kKinds.size())];
+    const std::vector<std::string> kinds = {"restart", "unanswered", "draining",
+                                            "hangs"};
+    const std::string& kind = kinds[random_.Below(kinds.size())];
     Note("worker-" + kind, std::to_string(worker));
     Json fault = {{"worker", worker}};
     if (kind == "unanswered") {
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -14,6 +14,7 @@
 /// Each third seed has planned work only, which must cut off nothing.
 constexpr std::uint64_t kPlannedEvery = 3;
 constexpr int kExitUsage = 64;
+constexpr std::int64_t kMsPerSecond = 1000;
 
 // True if nothing was violated.
 bool RunSeed(ProcessSoakOptions options) {
@@ -43,7 +44,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seeds", "number of seeds", cxxopts::value<int>()->default_value("1"))(
       "seconds", "length of the part with faults",
-      cxxopts::value<int>()->default_value("8"))(
+      cxxopts::value<std::int64_t>()->default_value("8"))(
       "entries", "number of entries",
       cxxopts::value<int>()->default_value("3"))(
       "workers", "number of workers",
@@ -59,7 +60,7 @@
   }
   ProcessSoakOptions soak;
   soak.seed = parsed["seed"].as<std::uint64_t>();
-  soak.length = Duration(parsed["seconds"].as<int>() * 1000);
+  soak.length = Duration(parsed["seconds"].as<std::int64_t>() * kMsPerSecond);
   soak.entries = parsed["entries"].as<int>();
   soak.workers = parsed["workers"].as<int>();
   soak.callers = parsed["callers"].as<int>();
