Reject input that is nested deeply

Cause: reading CBOR and copying a JSON value recurse with each level, so one frame or body of a few hundred kilobytes could overflow the stack of an entry or agent.

Input is refused beyond 32 levels. Mutated inputs of each decoder are read without an exception (100 cases a run). With the check taken out, the test of the frame ends with SIGSEGV.

--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -4,6 +4,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "base/json_depth.h"
+
 namespace geranium {
 namespace {
 
@@ -139,6 +141,9 @@
 
 Result<Frame> DecodeFrame(const std::string& bytes) {
   try {
+    if (ExceedsMaxJsonDepth(bytes, Json::input_format_t::cbor)) {
+      throw std::out_of_range("nested too deeply");
+    }
     Json items = Json::from_cbor(bytes);
     Frame frame;
     for (Json& item : items) {
