--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -55,10 +55,16 @@
       "late-percent", "see StepSchedulerOptions",
       cxxopts::value<std::int64_t>()->default_value("50"))(
       "urgent-ahead", "see StepSchedulerOptions",
-      cxxopts::value<double>()->default_value("2"))(
+      cxxopts::value<double>()->default_value("0.17"))(
+      "urgent-reserve", "see StepSchedulerOptions",
+      cxxopts::value<double>()->default_value("1"))(
       "local-reserve", "see StepSchedulerOptions",
       cxxopts::value<double>()->default_value("0.2"))(
       "same-rack", "these jobs all require the first rack")(
+      "large-tasks", "tasks of a quarter of a worker of 32 cores")(
+      "cores", "cores of a worker",
+      cxxopts::value<double>()->default_value("36"))(
+      "rack", "workers in a rack", cxxopts::value<int>()->default_value("3"))(
       "slow", "factor by which worker 2 is slow, from half of the length on",
       cxxopts::value<double>()->default_value("1"))(
       "hang", "worker 5 hangs, from half of the length on");
@@ -72,8 +78,12 @@
   world_options.workers = parsed["workers"].as<int>();
   world_options.entries = parsed["entries"].as<int>();
   world_options.entry_links = parsed["entry-links"].as<std::size_t>();
-  world_options.load =
-      geranium::standins::ReferenceLoad(parsed["factor"].as<double>());
+  const double factor = parsed["factor"].as<double>();
+  world_options.load = parsed.count("large-tasks") > 0
+                           ? geranium::standins::LargeTaskLoad(factor)
+                           : geranium::standins::ReferenceLoad(factor);
+  world_options.worker_capacity.cpu = parsed["cores"].as<double>();
+  world_options.workers_per_rack = parsed["rack"].as<int>();
   for (auto& kind : world_options.load) {
     kind.rack_share = parsed["racks"].as<double>();
     kind.same_rack = parsed.count("same-rack") > 0;
@@ -83,6 +93,8 @@
   world_options.scheduler.late_percent =
       parsed["late-percent"].as<std::int64_t>();
   world_options.scheduler.urgent_ahead = parsed["urgent-ahead"].as<double>();
+  world_options.scheduler.urgent_reserve =
+      parsed["urgent-reserve"].as<double>();
   world_options.scheduler.local_reserve = parsed["local-reserve"].as<double>();
   StepSimulator world(world_options);
   for (int i = 0; i < world_options.workers; ++i) {
--- a/src/contract/task.h
+++ b/src/contract/task.h
@@ -34,6 +34,7 @@
   }
   Resources& operator+=(const Resources& other);
   Resources& operator-=(const Resources& other);
+  bool operator==(const Resources&) const = default;
 
   template <class A>
   void Fields(A& a) {
--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -90,9 +90,8 @@
   }
 }
 
-void StepEntryNode::AnnounceJobs(TimePoint now) {
-  if (unannounced_.empty() || now < next_announce_) return;
-  next_announce_ = now + kAnnounceInterval;
+void StepEntryNode::AnnounceJobs() {
+  if (unannounced_.empty()) return;
   const JobsAccepted accepted{std::exchange(unannounced_, {})};
   for (const auto& [entry, link] : entry_links_) Send(link, accepted);
 }
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -17,6 +17,12 @@
 /// Agents connect at most this long after a start: a failed connection attempt,
 /// the pause after it, and the worker's next announcement.
 constexpr Duration kWorkerDiscoveryTime{3000};
+/// New addresses of entries are passed on at most this often: when a whole site
+/// starts, each entry learns of all others within moments.
+constexpr Duration kMembersInterval{50};
+/// Waiting tasks are looked at this often if nothing else happens: they become
+/// late, and workers on probation take one from time to time.
+constexpr Duration kWaitingTasksInterval{20};
 
 }  // namespace
 
@@ -77,8 +83,7 @@
 // take a while to stop, so the job is announced to the other entries right
 // away.
 void StepEntryNode::OnCallerGone(CallerHandle caller, TimePoint now) {
-  next_announce_ = now;
-  AnnounceJobs(now);
+  AnnounceJobs();
   scheduler_.OnCallerGone(caller, now);
   CollectActions(now);
 }
@@ -106,7 +111,7 @@
   hello.incarnation = options_.incarnation;
   hello.link_address = options_.link_address;
   Send(link, hello);
-  Send(link, MakeHeartbeat(peers_[link], now));
+  SendHeartbeat(link, peers_[link], now);
   Send(link, Members{{entry_addresses_.begin(), entry_addresses_.end()}});
 }
 
@@ -157,7 +162,9 @@
   entry_heard_[hello.incarnation] = now;
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
   // Already linked, so no ConnectEntry is needed.
-  if (entry_addresses_.insert(hello.link_address).second) SendMembers();
+  if (entry_addresses_.insert(hello.link_address).second) {
+    new_members_.push_back(hello.link_address);
+  }
 }
 
 void StepEntryNode::AddConfiguredEntries(
@@ -172,25 +179,26 @@
 void StepEntryNode::AddEntry(const std::string& address) {
   if (!entry_addresses_.insert(address).second) return;
   actions_.emplace_back(ConnectEntry{address});
-  SendMembers();
+  new_members_.push_back(address);
 }
 
 void StepEntryNode::On(LinkId /*link*/, const Members& members,
                        TimePoint /*now*/) {
-  bool added = false;
   for (const std::string& address : members.entry_addresses) {
     if (!entry_addresses_.insert(address).second) continue;
-    added = true;
+    new_members_.push_back(address);
     // Both entries learn of each other; only the lower address connects.
     if (options_.link_address < address) {
       actions_.emplace_back(ConnectEntry{address});
     }
   }
-  if (added) SendMembers();
 }
 
-void StepEntryNode::SendMembers() {
-  const Members members{{entry_addresses_.begin(), entry_addresses_.end()}};
+// A peer gets all addresses when it is linked, and later only new ones.
+void StepEntryNode::SendNewMembers(TimePoint now) {
+  if (new_members_.empty() || now < next_members_) return;
+  next_members_ = now + kMembersInterval;
+  const Members members{std::exchange(new_members_, {})};
   for (const auto& [link, peer] : peers_) Send(link, members);
 }
 
@@ -256,7 +264,7 @@
   if (!first_tick_) first_tick_ = now;
   scheduler_.SetDiscovering(now - *first_tick_ < kWorkerDiscoveryTime);
   CheckHandovers(now);
-  AnnounceJobs(now);
+  SendNewMembers(now);
   CloseSilentLinks(now);
   SendHeartbeats(now);
   scheduler_.OnTick(now);
@@ -273,18 +281,41 @@
   CollectActions(now);
 }
 
-Heartbeat StepEntryNode::MakeHeartbeat(Peer& peer, TimePoint now) const {
+Duration StepEntryNode::TimeToNextTick(TimePoint now) const {
+  TimePoint next = std::min(next_heartbeat_, next_peer_heartbeat_);
+  if (!new_members_.empty()) next = std::min(next, next_members_);
+  if (scheduler_.has_waiting_tasks() || !handovers_.empty()) {
+    next = std::min(next, now + kWaitingTasksInterval);
+  }
+  return std::max(next - now, Duration(1));
+}
+
+void StepEntryNode::SendHeartbeat(LinkId link, Peer& peer, TimePoint now) {
   peer.last_echoed = peer.newest_sent_at;
-  return Heartbeat{now, peer.newest_sent_at, Version(table_.offset.value()),
-                   std::nullopt, std::nullopt};
+  peer.heartbeat_sent_at = now;
+  for (const TaskEndAck& ack : std::exchange(peer.acknowledgements, {})) {
+    Send(link, ack);
+  }
+  Send(link, Heartbeat{now, peer.newest_sent_at, Version(table_.offset.value()),
+                       std::nullopt, std::nullopt});
 }
 
+// An agent that just got a heartbeat with an order gets the next one later.
 void StepEntryNode::SendHeartbeats(TimePoint now) {
-  if (now < next_heartbeat_) return;
-  next_heartbeat_ = now + kHeartbeatInterval;
+  const bool to_agents = now >= next_heartbeat_;
+  const bool to_entries = now >= next_peer_heartbeat_;
+  if (to_agents) next_heartbeat_ = now + kHeartbeatInterval;
+  if (to_entries) {
+    next_peer_heartbeat_ = now + kPeerHeartbeatInterval;
+    AnnounceJobs();
+  }
   for (auto& [link, peer] : peers_) {
+    const bool is_entry = peer.hello && peer.hello->role == ProcessRole::kEntry;
+    if (is_entry ? !to_entries : !to_agents) continue;
     peer.pull_sent = false;
-    Send(link, MakeHeartbeat(peer, now));
+    const bool sent_recently =
+        !is_entry && now - peer.heartbeat_sent_at < kHeartbeatInterval / 2;
+    if (!sent_recently) SendHeartbeat(link, peer, now);
   }
 }
 
@@ -302,24 +333,34 @@
   return found->second;
 }
 
-// Sends a heartbeat that echoes the agent's newest one ahead of an order: an
-// agent refuses orders without a recent echo.
 void StepEntryNode::CollectActions(TimePoint now) {
   NotifyHandoverRequesters(now);
   for (StepAction& action : scheduler_.TakeActions()) {
-    const auto* message = std::get_if<SendMessage>(&action);
-    if (message != nullptr &&
-        std::holds_alternative<StartTask>(message->message)) {
-      const auto peer = peers_.find(message->link);
-      if (peer != peers_.end() &&
-          peer->second.last_echoed != peer->second.newest_sent_at) {
-        Send(message->link, MakeHeartbeat(peer->second, now));
-      }
+    if (auto* message = std::get_if<SendMessage>(&action)) {
+      SendToAgent(std::move(*message), now);
+    } else {
+      actions_.push_back(std::move(action));
     }
-    actions_.push_back(std::move(action));
   }
 }
 
+// An agent refuses orders without a recent echo of its heartbeat, so one goes
+// ahead of an order. Acknowledgements are not urgent and wait for such a frame.
+void StepEntryNode::SendToAgent(SendMessage action, TimePoint now) {
+  const auto found = peers_.find(action.link);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  if (const auto* ack = std::get_if<TaskEndAck>(&action.message)) {
+    peer.acknowledgements.push_back(*ack);
+    return;
+  }
+  if (std::holds_alternative<StartTask>(action.message) &&
+      peer.last_echoed != peer.newest_sent_at) {
+    SendHeartbeat(action.link, peer, now);
+  }
+  actions_.emplace_back(std::move(action));
+}
+
 void StepEntryNode::Send(LinkId link, Message message) {
   actions_.emplace_back(SendMessage{link, std::move(message)});
 }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -38,12 +38,16 @@
 /// entries, and schedules. Performs no I/O and owns no thread or clock.
 class StepEntryNode {
  public:
+  /// Interval of heartbeats to agents. An agent stops the runs of an entry that
+  /// misses a few of them.
   static constexpr Duration kHeartbeatInterval{100};
+  /// Interval at which the other entries get a heartbeat and the jobs accepted
+  /// since the last one: well below the time after which a caller resubmits a
+  /// job. Each entry is linked to every other, so at large sites these are most
+  /// of the frames of a quiet entry.
+  static constexpr Duration kPeerHeartbeatInterval{250};
   /// A link on which nothing was received for this long is closed.
   static constexpr Duration kLinkTimeout{800};
-  /// Interval at which accepted jobs are announced to other entries; well
-  /// below the time after which a caller resubmits a job.
-  static constexpr Duration kAnnounceInterval{100};
   /// How long a job announced by another entry is remembered.
   static constexpr Duration kRemoteJobRetention{10'000};
 
@@ -73,6 +77,8 @@
   /// To be called after all messages of a frame.
   void OnFrameEnd(TimePoint now);
   void OnTick(TimePoint now);
+  /// When to call `OnTick` next; to be asked again after each event.
+  Duration TimeToNextTick(TimePoint now) const;
 
   /// Starts leaving: admits only jobs that can be finished before `end`.
   void Leave(TimePoint end);
@@ -99,6 +105,9 @@
     /// The newest of these that was echoed back to the peer.
     std::optional<TimePoint> last_echoed;
     TimePoint last_heard;
+    TimePoint heartbeat_sent_at = TimePoint::Never();
+    /// Sent with the next message or heartbeat.
+    std::vector<TaskEndAck> acknowledgements;
     bool pull_sent = false;
   };
   /// A job that another entry announced as accepted.
@@ -130,12 +139,13 @@
   bool RequestHandover(const StepJobId& job, TimePoint now);
   void CheckHandovers(TimePoint now);
   void NotifyHandoverRequesters(TimePoint now);
-  void AnnounceJobs(TimePoint now);
+  void AnnounceJobs();
   void SendHeartbeats(TimePoint now);
-  void SendMembers();
+  void SendHeartbeat(LinkId link, Peer& peer, TimePoint now);
+  void SendToAgent(SendMessage action, TimePoint now);
+  void SendNewMembers(TimePoint now);
   void CloseSilentLinks(TimePoint now);
   std::optional<LinkId> LinkOf(Incarnation entry) const;
-  Heartbeat MakeHeartbeat(Peer& peer, TimePoint now) const;
   void Send(LinkId link, Message message);
   void Log(LogLevel level, const std::string& event, LogFields fields);
   void CollectActions(TimePoint now);
@@ -152,8 +162,11 @@
   std::unordered_map<StepJobId, Handover> handovers_;
   std::unordered_map<StepJobId, std::vector<LinkId>> handover_requesters_;
   std::vector<StepJobId> unannounced_;
-  TimePoint next_announce_;
+  /// Addresses of entries that linked peers may not know yet.
+  std::vector<std::string> new_members_;
+  TimePoint next_members_;
   TimePoint next_heartbeat_;
+  TimePoint next_peer_heartbeat_;
   std::optional<TimePoint> leave_deadline_;
   std::optional<TimePoint> first_tick_;
   std::vector<StepAction> actions_;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 StepScheduler::StepScheduler(StepSchedulerOptions options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)), urgent_reserve_(options_.urgent_reserve) {}
 
 std::vector<StepAction> StepScheduler::TakeActions() {
   return std::exchange(actions_, {});
@@ -125,12 +125,24 @@
            "the expected queueing time is too long for the objective", now);
   } else {
     LogAdmitted(kept, backlog.in_time);
+    if (route.priority == kMostUrgentPriority) {
+      urgent_reserve_.OnAdmitted(CoreMs(kept.spec), now);
+    }
     UnblockSteps(kept);
     if (kept.waiting > 0) queue_.insert(QueueKeyOf(kept, number));
   }
   EraseIfDone(number);
 }
 
+double StepScheduler::CoreMs(const StepJob& job) {
+  double sum = 0;
+  for (const StepSpec& step : job.steps) {
+    sum += static_cast<double>(step.count) * step.size.cpu *
+           static_cast<double>(step.estimate.ms());
+  }
+  return sum;
+}
+
 // Assumes that a worker's cores are shared evenly by the entries linked to it.
 double StepScheduler::CapacityShare(TimePoint now) const {
   double cpu = 0;
@@ -266,6 +278,7 @@
 void StepScheduler::OnTick(TimePoint now) {
   median_slowness_ = MedianSlowness();
   capacity_share_ = CapacityShare(now);
+  reserved_fraction_ = urgent_reserve_.Fraction(capacity_share_, now);
   ExpireSilentWorkers(now);
   ExpireJobs(now);
   RequeueLateJobs(now);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "contract/route_table.h"
 #include "contract/step_job.h"
 #include "entry/step_actions.h"
+#include "entry/urgent_reserve.h"
 #include "link/messages.h"
 
 namespace geranium {
@@ -33,9 +35,12 @@
   /// whole backlog takes at most this percentage of the time until its start
   /// deadline: a late answer is of use to the caller, a refusal is not.
   std::int64_t late_percent = 50;
-  /// How many tasks of the most urgent priority may queue at a full worker,
-  /// ahead of all others.
-  double urgent_ahead = 2;
+  /// Tasks of the most urgent priority may queue at a full worker, ahead of all
+  /// others, up to this fraction of its cores. Where a task takes more than
+  /// that, only a few run at once and a place is too long in coming.
+  double urgent_ahead = 0.17;
+  /// See UrgentReserve; 0 keeps nothing free.
+  double urgent_reserve = 1;
   /// Fraction of a worker's cores that must stay free, for tasks with data in
   /// its rack, when a task with data in another rack is placed there.
   double local_reserve = 0.2;
@@ -101,6 +106,8 @@
 
   /// The sum of the estimates along the job's critical path.
   static Duration CriticalPath(const StepJob& job);
+  /// The estimated processor time of all tasks.
+  static double CoreMs(const StepJob& job);
   /// While workers are still being discovered, no job is refused for want of
   /// a suitable worker or for its expected wait.
   void SetDiscovering(bool discovering) { discovering_ = discovering; }
@@ -112,10 +119,13 @@
   std::vector<StepAction> TakeActions();
 
   std::size_t open_jobs() const { return by_caller_.size(); }
+  bool has_waiting_tasks() const { return !queue_.empty(); }
   std::size_t accepting_workers(TimePoint now) const;
   const StepCounters& counters() const { return counters_; }
 
  private:
+  static constexpr int kMostUrgentPriority = 0;
+
   enum class TaskState { kBlocked, kWaiting, kDispatched, kDone };
 
   struct StepTask {
@@ -215,6 +225,15 @@
     Duration oldest_report;
   };
 
+  /// The size for which no worker was found in this pass, by what else decides
+  /// where a task may run.
+  using UnplacedSizes =
+      std::map<std::tuple<ServiceName, int, std::string, std::string>,
+               Resources>;
+
+  void PlaceStep(JobNumber number, Job& job, std::size_t index,
+                 UnplacedSizes& unplaced, PlacementSummary& placed,
+                 TimePoint now);
   bool PlaceTask(JobNumber number, Job& job, std::size_t step, std::size_t task,
                  PlacementSummary& placed, TimePoint now);
   void LogPlaced(const Job& job, const PlacementSummary& placed, TimePoint now);
@@ -227,6 +246,9 @@
   bool MayPlaceRemote(const Worker& worker,
                       const PlacementRequest& request) const;
   static double FreeCpu(const Worker& worker, int priority);
+  double ReservedCpu(const Worker& worker, int priority) const;
+  double UrgentAheadCpu(const Worker& worker, double task_cpu,
+                        int priority) const;
   double Cost(const Worker& worker, const PlacementRequest& request) const;
   bool IsOnProbation(const Worker& worker) const;
   double MedianSlowness() const;
@@ -270,6 +292,8 @@
   std::unordered_map<AttemptId, Attempt> attempts_;
   bool discovering_ = true;
   double median_slowness_ = 1;
+  UrgentReserve urgent_reserve_;
+  double reserved_fraction_ = 0;  ///< Of each worker, for urgent tasks.
   /// This entry's share of the workers' cores.
   double capacity_share_ = 0;
   std::vector<StepJobId> relinquished_;
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -17,7 +18,6 @@
 constexpr double kLoadWeight = 0.3;
 /// Added cost of a worker in another data centre: traffic there costs more.
 constexpr double kCrossDataCentreCost = 0.05;
-constexpr int kMostUrgent = 0;
 /// An order that finds its worker full queues there for at most this percentage
 /// of its estimate: less than half of the slack within a job's objective, and
 /// by then another worker may have free capacity.
@@ -30,23 +30,14 @@
 }  // namespace
 
 void StepScheduler::PlaceWaitingTasks(TimePoint now) {
-  // Shapes for which no worker was found; later tasks of them are skipped.
-  std::set<std::tuple<double, std::string, std::string>> full;
+  UnplacedSizes unplaced;
   std::vector<QueueKey> emptied;
   for (const QueueKey& key : queue_) {
     Job& job = jobs_.at(key.number);
     if (job.held) continue;
     PlacementSummary placed;
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
-      Step& step = job.steps[s];
-      const StepSpec& spec = job.spec.steps[s];
-      const std::tuple shape(spec.size.cpu, spec.required_label,
-                             spec.data_rack);
-      for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
-        if (step.tasks[t].state != TaskState::kWaiting) continue;
-        if (full.contains(shape)) break;
-        if (!PlaceTask(key.number, job, s, t, placed, now)) full.insert(shape);
-      }
+      PlaceStep(key.number, job, s, unplaced, placed, now);
     }
     if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) emptied.push_back(key);
@@ -54,6 +45,28 @@
   for (const QueueKey& key : emptied) queue_.erase(key);
 }
 
+// Where a task found no worker, no larger one of its kind will in this pass:
+// with a long queue, most tasks need no search.
+void StepScheduler::PlaceStep(JobNumber number, Job& job, std::size_t index,
+                              UnplacedSizes& unplaced, PlacementSummary& placed,
+                              TimePoint now) {
+  Step& step = job.steps[index];
+  const StepSpec& spec = job.spec.steps[index];
+  if (step.waiting == 0) return;
+  const std::tuple kind(job.route.service, job.route.priority,
+                        spec.required_label, spec.data_rack);
+  const auto too_large = unplaced.find(kind);
+  if (too_large != unplaced.end() && spec.size.CanFit(too_large->second)) {
+    return;
+  }
+  for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
+    if (step.tasks[t].state != TaskState::kWaiting) continue;
+    if (PlaceTask(number, job, index, t, placed, now)) continue;
+    if (spec.max_per_worker == 0) unplaced[kind] = spec.size;
+    return;
+  }
+}
+
 bool StepScheduler::PlaceTask(JobNumber number, Job& job, std::size_t step,
                               std::size_t task, PlacementSummary& placed,
                               TimePoint now) {
@@ -99,6 +112,22 @@
   return worker.report.free.cpu - queued - unreported;
 }
 
+// Running urgent tasks use up the reserve.
+double StepScheduler::ReservedCpu(const Worker& worker, int priority) const {
+  if (priority == kMostUrgentPriority) return 0;
+  const double reserved = reserved_fraction_ * worker.card->capacity.cpu;
+  return std::max(0.0, reserved - worker.report.urgent_cpu);
+}
+
+// Whole tasks only: where none fits, an urgent task waits at the entry for the
+// first worker that has room.
+double StepScheduler::UrgentAheadCpu(const Worker& worker, double task_cpu,
+                                     int priority) const {
+  if (priority != kMostUrgentPriority || task_cpu <= 0) return 0;
+  const double limit = options_.urgent_ahead * worker.card->capacity.cpu;
+  return std::floor(limit / task_cpu) * task_cpu;
+}
+
 std::uint32_t StepScheduler::CountTasksOn(const PlacementRequest& request,
                                           const Worker& worker) const {
   std::uint32_t count = 0;
@@ -127,9 +156,10 @@
     return false;
   }
   const int priority = request.job->route.priority;
-  const double ahead =
-      priority == kMostUrgent ? options_.urgent_ahead * step.size.cpu : 0;
-  if (FreeCpu(worker, priority) + ahead + kEpsilon < step.size.cpu ||
+  const double usable = FreeCpu(worker, priority) -
+                        ReservedCpu(worker, priority) +
+                        UrgentAheadCpu(worker, step.size.cpu, priority);
+  if (usable + kEpsilon < step.size.cpu ||
       worker.report.free.memory_mb < step.size.memory_mb ||
       worker.report.free.accelerators < step.size.accelerators) {
     return false;
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -24,6 +24,8 @@
   /// No run started by an earlier agent or incarnation is still running.
   bool previous_runs_ended = false;
 
+  bool operator==(const WorkerCard&) const = default;
+
   template <class A>
   void Fields(A& a) {
     a(id)(service)(data_centre)(labels)(capacity)(previous_runs_ended);
@@ -42,13 +44,16 @@
   /// Total CPUs of all orders received on this link, which tells the entry
   /// which of its own orders `free` accounts for.
   double cpu_received = 0;
+  /// In use by runs of the most urgent priority.
+  double urgent_cpu = 0;
   double slowness = 1;        ///< Actual over estimated run times.
   bool failing = false;       ///< Most of its runs fail or stall.
   std::uint32_t entries = 1;  ///< Number of entries it is linked to.
 
   template <class A>
   void Fields(A& a) {
-    a(accepting)(free)(queued_cpu)(cpu_received)(slowness)(failing)(entries);
+    a(accepting)(free)(queued_cpu)(cpu_received)(urgent_cpu)(slowness);
+    a(failing)(entries);
   }
 };
 
--- a/src/runtime/agent_server.cc
+++ b/src/runtime/agent_server.cc
@@ -74,7 +74,11 @@
   for (const std::string& address : settings_.entry_addresses) {
     links_.Connect(address);
   }
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); });
+  const auto on_tick = [this] {
+    OnTick();
+    return ProcessLoop::kTickInterval;
+  };
+  loop_.Run(on_tick, [this](int count) { OnTerminate(count); });
   return exit_status_;
 }
 
--- a/src/runtime/entry_server.cc
+++ b/src/runtime/entry_server.cc
@@ -68,7 +68,11 @@
     boost::asio::post(loop_.traffic(),
                       [this, stream] { ReadLog(stream, LogOffset(1)); });
   }
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); });
+  const auto on_tick = [this] {
+    OnTick();
+    return ProcessLoop::kTickInterval;
+  };
+  loop_.Run(on_tick, [this](int count) { OnTerminate(count); });
   return exit_status_;
 }
 
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -19,6 +19,7 @@
 
 constexpr auto kIdleTimeout = std::chrono::seconds(120);
 constexpr auto kWriteTimeout = std::chrono::seconds(30);
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 std::string LowerCase(std::string text) {
   for (char& c : text) {
@@ -164,11 +165,18 @@
 
  private:
   static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
+    asio::steady_timer pause(self->io_);
     while (self->acceptor_.is_open()) {
       beast::error_code error;
       tcp::socket socket = co_await self->acceptor_.async_accept(
           asio::redirect_error(asio::use_awaitable, error));
-      if (error) continue;
+      if (error) {
+        // Most likely no descriptor is free; connections wait in the backlog.
+        pause.expires_after(kAcceptRetryDelay);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, error));
+        continue;
+      }
       socket.set_option(tcp::no_delay(true), error);
       asio::co_spawn(self->io_, Serve(self, std::move(socket)), asio::detached);
     }
--- a/src/runtime/line_writer.cc
+++ b/src/runtime/line_writer.cc
@@ -16,6 +16,9 @@
 
 /// How long the destructor waits for a slow reader to take buffered lines.
 constexpr std::chrono::milliseconds kFlushTimeout(200);
+/// Lines of this interval are written together: waking the thread for each line
+/// costs more than formatting it.
+constexpr std::chrono::milliseconds kBatchInterval(50);
 
 // Returns false on a permanent write error.
 bool WriteAll(int descriptor, const std::string& bytes) {
@@ -89,6 +92,8 @@
     state->condition.wait(
         lock, [&] { return state->stopping || !state->buffer.empty(); });
     if (state->buffer.empty()) return;
+    state->condition.wait_for(lock, kBatchInterval,
+                              [&] { return state->stopping; });
     const std::string bytes = std::exchange(state->buffer, {});
     state->writing = true;
     lock.unlock();
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -1,6 +1,9 @@
 #include "runtime/step_agent_server.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <exception>
+#include <string>
 #include <utility>
 
 #include "platform/worker_api.h"
@@ -14,6 +17,8 @@
 constexpr Duration kShutdownLinger{300};
 /// Reserved before SIGKILL to stop the remaining runs and to notify entries.
 constexpr Duration kStopMargin{900};
+/// While leaving, how often it is checked whether all is done.
+constexpr Duration kLeavingCheckInterval{20};
 
 }  // namespace
 
@@ -30,7 +35,7 @@
                 session_.OnMessage(link, message, clock_.Now());
               },
               [this](LinkId link) { session_.OnLinkDown(link, clock_.Now()); },
-              [this] { PerformActions(); }},
+              [this] { ScheduleActions(); }},
           settings_.node.incarnation.value(), kMaxPlatformDialDelay),
       http_(loop_.traffic()),
       registration_server_(
@@ -52,7 +57,8 @@
             {"worker", settings_.worker_address}});
   session_.AddEntries(settings_.entry_addresses, clock_.Now());
   PerformActions();
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
+  loop_.Run([this] { return OnTick(); },
+            [this](int count) { OnTerminate(count); },
             [this] { AddEntries(settings_reloader_.Reload(true)); });
   return exit_status_;
 }
@@ -99,13 +105,28 @@
                 [this, on_outcome](const HttpOutcome& outcome) {
                   boost::asio::post(loop_.control(),
                                     [this, on_outcome, outcome] {
-                                      on_outcome(outcome, clock_.Now());
-                                      PerformActions();
+                                      HandleReply(on_outcome, outcome);
+                                      ScheduleActions();
                                     });
                 });
   });
 }
 
+// A reply that cannot be handled counts as lost: the session must learn of the
+// end of each call, or it would wait for it for ever.
+template <class OnOutcome>
+void StepAgentServer::HandleReply(OnOutcome on_outcome,
+                                  const HttpOutcome& outcome) {
+  try {
+    on_outcome(outcome, clock_.Now());
+  } catch (const std::exception& error) {
+    HttpOutcome lost;
+    lost.failure = HttpFailure::kNoAnswer;
+    lost.message = std::string("reply not understood: ") + error.what();
+    on_outcome(lost, clock_.Now());
+  }
+}
+
 void StepAgentServer::Perform(const StartRun& order) {
   Call(order,
        [this, run = order.run](const HttpOutcome& outcome, TimePoint now) {
@@ -124,17 +145,26 @@
   Call(order, [this, number = order.number](const HttpOutcome& outcome,
                                             TimePoint now) {
     session_.OnPollEnded(number, platform::ReadPollOutcome(outcome), now);
-    session_.OnEventsHandled(now);
   });
 }
 
 // ---- actions of the session
 
+void StepAgentServer::ScheduleActions() {
+  if (std::exchange(actions_scheduled_, true)) return;
+  boost::asio::post(loop_.control(), [this] {
+    actions_scheduled_ = false;
+    session_.OnEventsHandled(clock_.Now());
+    PerformActions();
+  });
+}
+
 void StepAgentServer::PerformActions() {
   for (const SessionAction& action : session_.TakeActions()) {
     std::visit([this](const auto& typed) { Perform(typed); }, action);
   }
   links_.Flush();
+  loop_.TickWithin(session_.TimeToNextTick(clock_.Now()));
 }
 
 void StepAgentServer::Perform(const SendMessage& action) {
@@ -159,12 +189,17 @@
 
 // ---- ticks, reloads and shutdown
 
-void StepAgentServer::OnTick() {
+Duration StepAgentServer::OnTick() {
   const TimePoint now = clock_.Now();
   session_.OnTick(now);
   PerformActions();
   AddEntries(settings_reloader_.ReloadIfDue(now));
-  if (!leaving_since_) return;
+  if (leaving_since_) StopIfDone(now);
+  const Duration next = session_.TimeToNextTick(now);
+  return leaving_since_ ? std::min(next, kLeavingCheckInterval) : next;
+}
+
+void StepAgentServer::StopIfDone(TimePoint now) {
   const Duration elapsed = now - *leaving_since_;
   if (!stopped_runs_ && elapsed >= settings_.grace - kStopMargin) {
     stopped_runs_ = true;
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -19,8 +19,7 @@
 namespace geranium {
 
 /// The agent process for step jobs: connects a WorkerSession to its worker,
-/// links and the clock. Members with the comment "traffic" are used on the
-/// traffic thread, all others on the control thread.
+/// links and the clock, on one thread.
 class StepAgentServer {
  public:
   using Reloader = SettingsReloader<StepAgentSettings>;
@@ -34,7 +33,10 @@
  private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
 
-  void OnRegistration(const ExchangePtr& exchange);  // traffic
+  void OnRegistration(const ExchangePtr& exchange);
+  /// Performs the session's actions after the events that are ready now, so
+  /// that what they send to one peer shares a frame.
+  void ScheduleActions();
   void PerformActions();
   void Perform(const SendMessage& action);
   void Perform(const ConnectEntry& action);
@@ -46,20 +48,25 @@
   void Perform(const LogMessage& message);
   template <class Order, class OnOutcome>
   void Call(const Order& order, OnOutcome on_outcome);
-  void OnTick();
+  template <class OnOutcome>
+  void HandleReply(OnOutcome on_outcome, const HttpOutcome& outcome);
+  /// Returns the time to the next tick.
+  Duration OnTick();
+  void StopIfDone(TimePoint now);
   void OnTerminate(int count);
   void AddEntries(const std::optional<std::vector<std::string>>& addresses);
 
   StepAgentSettings settings_;
   Reloader settings_reloader_;
   SystemClock clock_;
-  ProcessLoop loop_;
+  ProcessLoop loop_{ProcessLoop::Threads::kShared};
   WorkerSession session_;
   RateLimitedLog log_;
   PeerLinks links_;
-  HttpClient http_;                 // traffic
-  HttpServer registration_server_;  // traffic
+  HttpClient http_;
+  HttpServer registration_server_;
   MetricsEndpoint metrics_;
+  bool actions_scheduled_ = false;
   std::optional<TimePoint> leaving_since_;
   bool stopped_runs_ = false;
   int exit_status_ = 0;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -1,8 +1,10 @@
 #include "runtime/step_entry_server.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include "platform/ingress.h"
@@ -16,6 +18,8 @@
 /// platform has seen that the entry is not ready, and open connections have
 /// been closed after an answer.
 constexpr Duration kShutdownLinger{3500};
+/// While leaving, how often it is checked whether all is done.
+constexpr Duration kLeavingCheckInterval{20};
 
 }  // namespace
 
@@ -31,10 +35,7 @@
                    node_.OnMessage(link, message, clock_.Now());
                  },
                  [this](LinkId link) { node_.OnLinkDown(link, clock_.Now()); },
-                 [this] {
-                   node_.OnFrameEnd(clock_.Now());
-                   PerformActions();
-                 }},
+                 [this] { ScheduleActions(); }},
              settings_.node.incarnation.value(), kMaxPlatformDialDelay),
       http_(loop_.traffic()),
       caller_server_(
@@ -64,7 +65,8 @@
   node_.AddConfiguredEntries(settings_.entry_addresses);
   PerformActions();
   boost::asio::post(loop_.control(), [this] { PollOperatorLog(); });
-  loop_.Run([this] { OnTick(); }, [this](int count) { OnTerminate(count); },
+  loop_.Run([this] { return OnTick(); },
+            [this](int count) { OnTerminate(count); },
             [this] { AddEntries(settings_reloader_.Reload(true)); });
   return exit_status_;
 }
@@ -125,11 +127,11 @@
           boost::asio::post(loop_.control(), [this, caller] {
             pending_requests_.erase(caller);
             node_.OnCallerGone(caller, clock_.Now());
-            PerformActions();
+            ScheduleActions();
           });
         });
         node_.OnSubmission(caller, std::move(submission), clock_.Now());
-        PerformActions();
+        ScheduleActions();
       });
 }
 
@@ -162,11 +164,21 @@
 
 // ---- actions of the node
 
+void StepEntryServer::ScheduleActions() {
+  if (std::exchange(actions_scheduled_, true)) return;
+  boost::asio::post(loop_.control(), [this] {
+    actions_scheduled_ = false;
+    node_.OnFrameEnd(clock_.Now());
+    PerformActions();
+  });
+}
+
 void StepEntryServer::PerformActions() {
   for (const StepAction& action : node_.TakeActions()) {
     std::visit([this](const auto& typed) { Perform(typed); }, action);
   }
   links_.Flush();
+  loop_.TickWithin(node_.TimeToNextTick(clock_.Now()));
 }
 
 void StepEntryServer::Perform(const SendMessage& action) {
@@ -218,6 +230,20 @@
 
 void StepEntryServer::OnOperatorLogReply(const OperatorLogRequest& request,
                                          const HttpOutcome& outcome) {
+  try {
+    ApplyOperatorLogReply(request, outcome);
+  } catch (const std::exception& error) {
+    // The log has to be followed on, whatever a reply holds.
+    Perform(LogMessage{LogLevel::kError,
+                       "operator_log_reply_failed",
+                       {{"message", error.what()}}});
+  }
+  PerformActions();
+  PollOperatorLog();
+}
+
+void StepEntryServer::ApplyOperatorLogReply(const OperatorLogRequest& request,
+                                            const HttpOutcome& outcome) {
   const std::string& address = settings_.store_address;
   const auto table =
       request.kind == OperatorLogRequest::Kind::kNewest
@@ -227,8 +253,6 @@
   for (const LogMessage& message : follower_.TakeLogMessages())
     Perform(message);
   if (table) node_.OnRouteTable(*table, address, clock_.Now());
-  PerformActions();
-  PollOperatorLog();
 }
 
 MetricFamilies StepEntryServer::CollectMetrics() {
@@ -241,12 +265,17 @@
 
 // ---- ticks, reloads and shutdown
 
-void StepEntryServer::OnTick() {
+Duration StepEntryServer::OnTick() {
   const TimePoint now = clock_.Now();
   node_.OnTick(now);
   PerformActions();
   AddEntries(settings_reloader_.ReloadIfDue(now));
-  if (!leaving_since_) return;
+  if (leaving_since_) StopIfDone(now);
+  const Duration next = node_.TimeToNextTick(now);
+  return leaving_since_ ? std::min(next, kLeavingCheckInterval) : next;
+}
+
+void StepEntryServer::StopIfDone(TimePoint now) {
   const Duration elapsed = now - *leaving_since_;
   const bool done = node_.IsIdle() && caller_server_.unanswered() == 0 &&
                     elapsed >= kShutdownLinger;
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -22,8 +22,7 @@
 namespace geranium {
 
 /// The entry process for step jobs: connects a StepEntryNode to callers, links,
-/// the operator's log and the clock. Members with the comment "traffic" are
-/// used on the traffic thread, all others on the control thread.
+/// the operator's log and the clock, on one thread.
 class StepEntryServer {
  public:
   using Reloader = SettingsReloader<StepEntrySettings>;
@@ -37,10 +36,13 @@
  private:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
 
-  void OnRequest(const ExchangePtr& exchange);       // traffic
-  void OnReadyRequest(const ExchangePtr& exchange);  // traffic
-  void Submit(const ExchangePtr& exchange);          // traffic
+  void OnRequest(const ExchangePtr& exchange);
+  void OnReadyRequest(const ExchangePtr& exchange);
+  void Submit(const ExchangePtr& exchange);
   void OnQueueRequest(const ExchangePtr& exchange, TimePoint now);
+  /// Performs the node's actions after the events that are ready now, so that
+  /// what they send to one peer shares a frame.
+  void ScheduleActions();
   void PerformActions();
   void Perform(const SendMessage& action);
   void Perform(const ConnectEntry& action);
@@ -50,23 +52,28 @@
   void PollOperatorLog();
   void OnOperatorLogReply(const OperatorLogRequest& request,
                           const HttpOutcome& outcome);
+  void ApplyOperatorLogReply(const OperatorLogRequest& request,
+                             const HttpOutcome& outcome);
   MetricFamilies CollectMetrics();
-  void OnTick();
+  /// Returns the time to the next tick.
+  Duration OnTick();
+  void StopIfDone(TimePoint now);
   void OnTerminate(int count);
   void AddEntries(const std::optional<std::vector<std::string>>& addresses);
 
   StepEntrySettings settings_;
   Reloader settings_reloader_;
   SystemClock clock_;
-  ProcessLoop loop_;
+  ProcessLoop loop_{ProcessLoop::Threads::kShared};
   StepEntryNode node_;
   RouteFollower follower_;
   RateLimitedLog log_;
   PeerLinks links_;
-  HttpClient http_;           // traffic
-  HttpServer caller_server_;  // traffic
-  HttpServer ready_server_;   // traffic
+  HttpClient http_;
+  HttpServer caller_server_;
+  HttpServer ready_server_;
   MetricsEndpoint metrics_;
+  bool actions_scheduled_ = false;
   std::uint64_t next_caller_ = 1;
   struct PendingRequest {
     ExchangePtr exchange;
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -56,13 +56,13 @@
         {{"worker", announcement.id.value()}});
     ReturnQueued("the worker is draining", now);
   }
-  report_due_ = true;
+  ++state_version_;
 }
 
 void WorkerSession::OnWorkerLeft(const WorkerId& worker, TimePoint now) {
   if (!worker_ || worker_->id != worker) return;
   worker_left_ = true;
-  report_due_ = true;
+  ++state_version_;
   Log(LogLevel::kInfo, "worker_left", {{"worker", worker.value()}});
   ReturnQueued("the worker has shut down", now);
 }
@@ -129,6 +129,34 @@
   SendReports(now);
 }
 
+Duration WorkerSession::TimeToNextTick(TimePoint now) const {
+  TimePoint next = std::min(next_heartbeat_, next_selection_);
+  const bool report_due =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [&](const auto& item) { return IsReportDue(item.second); });
+  if (report_due) next = std::min(next, next_report_);
+  if (worker_ && long_poll_ == 0) next = std::min(next, next_poll_);
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state == State::kQueued) {
+      next = std::min(next, attempt.state_since + attempt.order.max_wait);
+    } else if (attempt.state == State::kStopping) {
+      if (attempt.stop_accepted_at) continue;  // A poll shows its end.
+      next = std::min(next, attempt.stop_sent_at + kStopRetryInterval);
+      continue;
+    }
+    const auto entry = entries_.find(attempt.entry);
+    if (entry == entries_.end()) continue;
+    next = std::min(next, entry->second.last_alive_at + kEntryTimeout);
+  }
+  // Each limit is checked for having been exceeded.
+  return std::max(next + Duration(1) - now, Duration(1));
+}
+
+void WorkerSession::OnEventsHandled(TimePoint now) {
+  PollIfDue(now);
+  SendReports(now);
+}
+
 void WorkerSession::ExpireQueued(TimePoint now) {
   std::vector<AttemptId> expired;
   for (const auto& [id, attempt] : attempts_) {
@@ -179,7 +207,7 @@
 
 void WorkerSession::Leave(TimePoint now) {
   leaving_ = true;
-  report_due_ = true;
+  ++state_version_;
   ReturnQueued("the agent is draining", now);
 }
 
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -89,8 +89,11 @@
   void OnLinkDown(LinkId link, TimePoint now);
   void OnMessage(LinkId link, const Message& message, TimePoint now);
   void OnTick(TimePoint now);
-  /// Sends the next poll as soon as an answer has been processed.
-  void OnEventsHandled(TimePoint now) { PollIfDue(now); }
+  /// When to call `OnTick` next; to be asked again after each event.
+  Duration TimeToNextTick(TimePoint now) const;
+  /// To be called after the events that are ready at once: sends the next poll
+  /// and reports what has changed.
+  void OnEventsHandled(TimePoint now);
 
   /// Starts draining: takes no more orders and lets running tasks finish.
   void Leave(TimePoint now);
@@ -137,6 +140,9 @@
     std::optional<TimePoint> last_heartbeat_sent_at;
     TimePoint last_received_at;
     double cpu_received = 0;
+    std::uint64_t reported_version = 0;  ///< Of the state; 0: none.
+    std::optional<WorkerCard> sent_card;
+    bool task_end_sent = false;  ///< Since the last report.
     /// When release of the link began; no new orders are accepted over it.
     std::optional<TimePoint> releasing_since;
   };
@@ -193,6 +199,10 @@
   bool HasOpenWork(Incarnation entry) const;
   void SendHeartbeats(TimePoint now);
   void SendReports(TimePoint now);
+  void SendReport(LinkId link, Peer& peer, TimePoint now);
+  bool IsReportDue(const Peer& peer) const {
+    return peer.hello && peer.reported_version != state_version_;
+  }
   WorkerCard Card() const;
   WorkerReport Report(const Peer& peer, TimePoint now) const;
   std::uint32_t CountEntries() const;
@@ -238,10 +248,9 @@
   TimePoint next_selection_;
   Resources in_use_;
   RunStatistics run_statistics_;
-  WorkerCard sent_card_;
   TimePoint next_heartbeat_;
   TimePoint next_report_;
-  bool report_due_ = false;
+  std::uint64_t state_version_ = 1;  ///< Increases with what reports say.
   SessionCounters counters_;
   std::vector<SessionAction> actions_;
 };
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Reports are sent at most this often.
-constexpr Duration kReportInterval{20};
+constexpr Duration kReportInterval{40};
 /// The selection of entries is updated this often.
 constexpr Duration kSelectionInterval{100};
 /// A link is closed this long after its entry was told to send no more orders,
@@ -67,8 +67,7 @@
   }
   Send(link, list);
   for (const auto& [id, end] : entry.unacknowledged) Send(link, end);
-  if (worker_) Send(link, Card());
-  Send(link, Report(peers_[link], now));
+  SendReport(link, peers_[link], now);
 }
 
 void WorkerSession::On(LinkId /*link*/, const Members& members, TimePoint now) {
@@ -108,13 +107,13 @@
     if (!peer.hello) continue;
     const std::string& address = peer.hello->link_address;
     if (selected.contains(address)) {
-      report_due_ = report_due_ || peer.releasing_since.has_value();
+      if (peer.releasing_since) ++state_version_;
       peer.releasing_since.reset();
       continue;
     }
     if (!peer.releasing_since) {
       peer.releasing_since = now;
-      report_due_ = true;
+      ++state_version_;
     }
     if (now - *peer.releasing_since < kReleaseGracePeriod ||
         HasOpenWork(peer.hello->incarnation)) {
@@ -174,15 +173,35 @@
   }
 }
 
+// A task's end makes a frame for its entry anyway, so a report goes with it.
+// The other entries get one report for all changes within an interval.
+// Heartbeats that are due soon share these frames.
 void WorkerSession::SendReports(TimePoint now) {
-  if (!report_due_ || now < next_report_) return;
-  report_due_ = false;
+  const bool to_all = now >= next_report_;
+  bool sent = false;
+  for (auto& [link, peer] : peers_) {
+    if (!IsReportDue(peer) || !(to_all || peer.task_end_sent)) continue;
+    SendReport(link, peer, now);
+    sent = true;
+  }
+  if (!to_all || !sent) return;
   next_report_ = now + kReportInterval;
-  for (const auto& [link, peer] : peers_) {
-    if (!peer.hello) continue;
-    if (worker_) Send(link, Card());
-    Send(link, Report(peer, now));
+  if (next_heartbeat_ - now > kHeartbeatInterval / 2) return;
+  next_heartbeat_ = now;
+  SendHeartbeats(now);
+}
+
+void WorkerSession::SendReport(LinkId link, Peer& peer, TimePoint now) {
+  peer.reported_version = state_version_;
+  peer.task_end_sent = false;
+  if (worker_) {
+    const WorkerCard card = Card();
+    if (peer.sent_card != card) {
+      peer.sent_card = card;
+      Send(link, card);
+    }
   }
+  Send(link, Report(peer, now));
 }
 
 WorkerCard WorkerSession::Card() const {
@@ -206,7 +225,12 @@
   }
   report.cpu_received = peer.cpu_received;
   for (const auto& [id, attempt] : attempts_) {
-    if (attempt.state != State::kQueued) continue;
+    if (attempt.state != State::kQueued) {
+      if (attempt.order.priority == 0) {
+        report.urgent_cpu += attempt.order.size.cpu;
+      }
+      continue;
+    }
     const auto rank = static_cast<std::size_t>(
         std::clamp(attempt.order.priority, 0, WorkerReport::kPriorities - 1));
     report.queued_cpu.resize(WorkerReport::kPriorities);
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -54,7 +54,7 @@
   // The entry has given up orders that arrive over a replaced link.
   if (entries_[entry].link != link) return;
   ++counters_.orders;
-  report_due_ = true;
+  ++state_version_;
   const std::string refusal = RefusalReason(peer, entries_[entry], order, now);
   if (!refusal.empty()) {
     ++counters_.returned;
@@ -221,14 +221,16 @@
        {"slowness", std::to_string(run_statistics_.slowness())}});
   const Incarnation entry = attempt.entry;
   attempts_.erase(found);
-  report_due_ = true;
+  ++state_version_;
   SendTaskEnd(entry, TaskEnd{id, end, reason});
 }
 
 void WorkerSession::SendTaskEnd(Incarnation entry, const TaskEnd& end) {
   Entry& known = entries_[entry];
   known.unacknowledged[end.attempt] = end;
-  if (known.linked) Send(known.link, end);
+  if (!known.linked) return;
+  Send(known.link, end);
+  peers_[known.link].task_end_sent = true;
 }
 
 void WorkerSession::On(LinkId link, const TaskEndAck& ack, TimePoint /*now*/) {
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -17,7 +17,7 @@
 constexpr Duration kIdlePollWait{300};
 /// Long-poll wait while an order is in doubt.
 constexpr Duration kInDoubtPollWait{20};
-/// Delay after a failed poll.
+/// Delay after a failed poll, from its start if the worker answered lately.
 constexpr Duration kPollRetryDelay{30};
 /// A run is stalled if its progress has not increased for this long and for
 /// `kStallEstimateTenths` tenths of its estimate. Even a run ten times slower
@@ -89,8 +89,10 @@
   if (outcome.reply != OrderReply::kAccepted) {
     const bool lost = outcome.reply == OrderReply::kNoAnswer;
     if (lost) last_lost_answer_at_ = now;
+    // A poll that timed out has waited already; one that failed at once, for
+    // example at a worker that is down, must not be repeated at once.
     next_poll_ = lost && now - last_answer_at_ < kWorkerTimeout
-                     ? now
+                     ? std::max(now, poll.sent + kPollRetryDelay)
                      : now + kPollRetryDelay;
     if (outcome.reply == OrderReply::kFenced &&
         poll.fencing_token == fencing_token_) {
@@ -222,7 +224,7 @@
     return !seen.contains(unknown.first);
   });
   const bool settled = unknown_runs_.empty();
-  if (settled != settled_) report_due_ = true;
+  if (settled != settled_) ++state_version_;
   settled_ = settled;
 }
 
@@ -231,7 +233,7 @@
   if (now - last_answer_at_ < kWorkerTimeout) return;
   if (!worker_silent_) {
     worker_silent_ = true;
-    report_due_ = true;
+    ++state_version_;
     Log(LogLevel::kWarning, "worker_silent",
         {{"worker", worker_->id.value()},
          {"silent_ms", std::to_string((now - last_answer_at_).ms())}});
--- a/standins/step_simulator.cc
+++ b/standins/step_simulator.cc
@@ -44,6 +44,15 @@
   return {lookup, booking, quote};
 }
 
+std::vector<LoadClass> LargeTaskLoad(double factor) {
+  std::vector<LoadClass> load = ReferenceLoad(factor * 1.125);
+  for (LoadClass& kind : load) {
+    kind.cpu = 7.6;
+    kind.cpu_sigma = 0.2;
+  }
+  return load;
+}
+
 StepSimulator::StepSimulator(StepSimulatorOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
@@ -123,6 +132,10 @@
       std::clamp(std::lround(LogNormal(random_, kind.mean_tasks, kind.sigma)),
                  1L, std::lround(4.0 * kind.mean_tasks)));
   step.size = Resources{kind.cpu, 64, 0};
+  if (kind.cpu_sigma > 0) {
+    step.size.cpu =
+        std::min(LogNormal(random_, kind.cpu, kind.cpu_sigma), 1.5 * kind.cpu);
+  }
   const double work = std::min(
       LogNormal(random_, static_cast<double>(kind.mean_work.ms()), kind.sigma),
       4.0 * static_cast<double>(kind.mean_work.ms()));
--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -25,8 +25,9 @@
   int mean_tasks = 1;
   Duration mean_work{100};  ///< Run time of one task.
   double cpu = 3.1;
-  double sigma = 0.4;               ///< Log-normal: tasks, work and estimate.
-  double failing_tasks = 0;         ///< Share of runs that fail independently.
+  double cpu_sigma = 0;      ///< Log-normal, of jobs; at most 1.5 times `cpu`.
+  double sigma = 0.4;        ///< Log-normal: tasks, work and estimate.
+  double failing_tasks = 0;  ///< Share of runs that fail independently.
   double always_failing_share = 0;  ///< Share of jobs whose tasks always fail.
   double rack_share = 0;   ///< Share of jobs with their data in a rack.
   bool same_rack = false;  ///< All of these use the first rack.
@@ -36,6 +37,9 @@
 
 /// The load of the users' sites at `factor` times their usual rates.
 std::vector<LoadClass> ReferenceLoad(double factor);
+/// The same kinds of job with tasks so large that a worker runs four at a time,
+/// for 30 workers of 32 cores at about 70 % of their capacity times `factor`.
+std::vector<LoadClass> LargeTaskLoad(double factor);
 
 struct StepSimulatorOptions {
   std::uint64_t seed = 1;
--- /dev/null
+++ b/tests/worker_session_test.cc
@@ -0,0 +1,162 @@
+#include "worker/worker_session.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace geranium {
+namespace {
+
+/// A session with a worker of 32 cores, linked to two entries.
+class WorkerSessionTest {
+ protected:
+  WorkerSessionTest() : session_(Options()) {
+    WorkerAnnouncement worker;
+    worker.id = WorkerId("w");
+    worker.service = ServiceName("s");
+    worker.capacity = Resources{32, 1024, 0};
+    worker.started_ms = 1;
+    session_.OnAnnouncement(worker, now_);
+    for (const LinkId link : {kFirst, kSecond}) {
+      session_.OnLinkUp(link, now_);
+      Hello hello;
+      hello.role = ProcessRole::kEntry;
+      hello.incarnation = Incarnation(link.value());
+      hello.link_address = "entry-" + std::to_string(link.value());
+      session_.OnMessage(link, hello, now_);
+    }
+    Tick();
+    AnswerPoll(PollOutcome{});
+    Tick();
+    SendHeartbeats();
+    (void)session_.TakeActions();
+  }
+
+  static WorkerSessionOptions Options() {
+    WorkerSessionOptions options;
+    options.name = "agent";
+    options.incarnation = Incarnation(100);
+    return options;
+  }
+
+  void SendHeartbeats() {
+    for (const LinkId link : {kFirst, kSecond}) {
+      session_.OnMessage(
+          link, Heartbeat{now_, now_, Version(0), std::nullopt, std::nullopt},
+          now_);
+    }
+  }
+
+  void Tick() {
+    session_.OnTick(now_);
+    for (SessionAction& action : session_.TakeActions()) {
+      if (const auto* poll = std::get_if<PollRuns>(&action)) {
+        polls_.push_back(*poll);
+      }
+      actions_.push_back(std::move(action));
+    }
+  }
+
+  void Advance(Duration by) {
+    for (const TimePoint end = now_ + by; now_ < end;) {
+      now_ = now_ + Duration(1);
+      Tick();
+    }
+  }
+
+  void AnswerPoll(PollOutcome outcome) {
+    REQUIRE_FALSE(polls_.empty());
+    outcome.reply = OrderReply::kAccepted;
+    outcome.started_ms = 1;
+    outcome.clock_ms = now_.ms();
+    session_.OnPollEnded(polls_.back().number, outcome, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  }
+
+  TaskRun Order(LinkId link, std::uint64_t number) {
+    StartTask order;
+    order.attempt = AttemptId{Incarnation(link.value()), number};
+    order.run = TaskRun{TaskName("t" + std::to_string(number)), 1};
+    order.size = Resources{8, 1, 0};
+    order.estimate = Duration(100);
+    order.max_wait = Duration(40);
+    session_.OnMessage(link, order, now_);
+    return order.run;
+  }
+
+  template <class M>
+  int CountSent(LinkId link) const {
+    int count = 0;
+    for (const SessionAction& action : actions_) {
+      const auto* send = std::get_if<SendMessage>(&action);
+      if (send != nullptr && send->link == link &&
+          std::holds_alternative<M>(send->message)) {
+        ++count;
+      }
+    }
+    return count;
+  }
+
+  inline static const LinkId kFirst{1};
+  inline static const LinkId kSecond{2};
+
+  TimePoint now_{1000};
+  WorkerSession session_;
+  std::vector<SessionAction> actions_;
+  std::vector<PollRuns> polls_;
+};
+
+// Guards against a loop of refused connections while a worker is down, which
+// took most of the agent's processor time.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession with polls that fail at once, they are not "
+                 "repeated at once") {
+  const std::size_t before = polls_.size();
+  const TimePoint end = now_ + Duration(300);
+  while (now_ < end) {
+    Advance(Duration(1));
+    if (polls_.empty()) continue;
+    session_.OnPollEnded(polls_.back().number, PollOutcome{}, now_);
+    session_.OnEventsHandled(now_);
+  }
+  CHECK(polls_.size() - before >= 5);
+  CHECK(polls_.size() - before <= 300 / 30 + 1);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession when a run ends, its entry gets the report "
+                 "with the end and the other entries get theirs later") {
+  Advance(Duration(100));
+  SendHeartbeats();
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  OrderOutcome accepted;
+  accepted.reply = OrderReply::kAccepted;
+  accepted.clock_ms = now_.ms();
+  session_.OnStartEnded(run, accepted, now_);
+  Advance(Duration(3));
+  actions_.clear();
+  PollOutcome outcome;
+  outcome.ended.push_back({1, run, RunEnd::kDone});
+  AnswerPoll(outcome);
+  CHECK(CountSent<TaskEnd>(kFirst) == 1);
+  CHECK(CountSent<WorkerReport>(kFirst) == 1);
+  CHECK(CountSent<WorkerReport>(kSecond) == 0);
+  Advance(Duration(60));
+  CHECK(CountSent<WorkerReport>(kFirst) == 1);
+  CHECK(CountSent<WorkerReport>(kSecond) == 1);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession with nothing to do is next due at a heartbeat, "
+                 "not at every millisecond") {
+  Advance(Duration(50));
+  AnswerPoll(PollOutcome{});
+  CHECK(session_.TimeToNextTick(now_) > Duration(20));
+  CHECK(session_.TimeToNextTick(now_) <=
+        WorkerSession::kHeartbeatInterval + Duration(1));
+}
+
+}  // namespace
+}  // namespace geranium
