--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -158,5 +158,39 @@
         WorkerSession::kHeartbeatInterval + Duration(1));
 }
 
+// A restarted agent may be sent an announcement that was under way when its
+// worker shut down.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession announced a worker that answers no poll takes "
+                 "no orders for it") {
+  WorkerSession restarted(Options());
+  WorkerAnnouncement worker;
+  worker.id = WorkerId("w");
+  worker.service = ServiceName("s");
+  worker.capacity = Resources{32, 1024, 0};
+  worker.started_ms = 1;
+  restarted.OnAnnouncement(worker, now_);
+  for (int i = 0; i < 100; ++i) {
+    now_ = now_ + Duration(10);
+    restarted.OnTick(now_);
+    CHECK_FALSE(restarted.IsAccepting(now_));
+  }
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker has left ignores announcements "
+                 "of the same incarnation") {
+  REQUIRE(session_.IsAccepting(now_));
+  session_.OnWorkerLeft(WorkerId("w"), now_);
+  WorkerAnnouncement late;
+  late.id = WorkerId("w");
+  late.service = ServiceName("s");
+  late.capacity = Resources{32, 1024, 0};
+  late.started_ms = 1;
+  late.sequence = 1;
+  session_.OnAnnouncement(late, now_);
+  CHECK_FALSE(session_.IsAccepting(now_));
+}
+
 }  // namespace
 }  // namespace geranium
