Reset a link on which a frame could not be handled

Cause: an error while a message of a frame was handled cost the messages after it too. The process went on, but an end of a run that was lost this way is sent again only on a new link, so its job was never answered. A malformed frame closed its link without a log line. Change: such a frame is logged (frame_rejected) and counted, and its link is reset; both ends then tell each other again what they hold.

--- a/src/runtime/metric_family_builder.cc
+++ b/src/runtime/metric_family_builder.cc
@@ -31,6 +31,9 @@
                 MaxResidentBytes());
   builder.Counter("geranium_link_frames_sent_total", "Frames sent to peers",
                   Count(links.frames_sent()));
+  builder.Counter("geranium_link_frames_rejected_total",
+                  "Frames that were malformed or could not be handled",
+                  Count(links.frames_rejected()));
   builder.Counter("geranium_link_sent_bytes_total", "Bytes sent to peers",
                   Count(links.bytes_sent()));
 }
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -3,9 +3,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include "link/codec.h"
+#include "runtime/logging.h"
 
 namespace geranium {
 namespace {
@@ -106,18 +108,39 @@
 void PeerLinks::OnBytes(std::uint64_t id, const std::string& bytes) {
   auto frame = DecodeFrame(bytes);
   if (!frame) {
-    // The frame is invalid, so the peer does not speak this protocol.
-    sockets_->Close(id);
+    RejectFrame(id, frame.error().message);
     return;
   }
   boost::asio::post(control_, [this, id, frame = std::move(frame.value())] {
-    for (const Message& message : frame) {
-      handlers_.on_message(LinkId(id), message);
-    }
-    handlers_.after_frame();
+    HandleFrame(LinkId(id), frame);
   });
 }
 
+void PeerLinks::HandleFrame(LinkId link, const Frame& frame) {
+  try {
+    for (const Message& message : frame) handlers_.on_message(link, message);
+  } catch (const std::exception& error) {
+    boost::asio::post(traffic_, [this, id = link.value(),
+                                 reason = std::string(error.what())] {
+      RejectFrame(id, reason);
+    });
+  }
+  handlers_.after_frame();
+}
+
+// What the rest of the frame said is lost. On a new link both ends tell each
+// other again what they hold.
+void PeerLinks::RejectFrame(std::uint64_t id, const std::string& reason) {
+  ++frames_rejected_;
+  const auto dialled = address_by_link_.find(id);
+  LogEvent(
+      LogLevel::kError, "frame_rejected",
+      {{"link", std::to_string(id)},
+       {"address", dialled == address_by_link_.end() ? "" : dialled->second},
+       {"message", reason}});
+  sockets_->Reset(id);
+}
+
 void PeerLinks::OnClose(std::uint64_t id) {
   boost::asio::post(control_, [this, id] {
     handlers_.on_down(LinkId(id));
--- a/src/runtime/peer_links.h
+++ b/src/runtime/peer_links.h
@@ -53,12 +53,17 @@
 
   std::uint64_t frames_sent() const { return frames_sent_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
+  /// Frames that were malformed or could not be handled whole.
+  std::uint64_t frames_rejected() const { return frames_rejected_; }
 
  private:
+  // On the control thread.
+  void HandleFrame(LinkId link, const Frame& frame);
   // On the traffic thread.
   void OnOpen(std::uint64_t id, const std::string& dialled);
   void OnBytes(std::uint64_t id, const std::string& bytes);
   void OnClose(std::uint64_t id);
+  void RejectFrame(std::uint64_t id, const std::string& reason);
   void DialLater(const std::string& address);
   void DialIfWanted(const std::string& address);
 
@@ -77,6 +82,7 @@
   std::map<LinkId, Frame> outgoing_;
   std::atomic<std::uint64_t> frames_sent_ = 0;
   std::atomic<std::uint64_t> bytes_sent_ = 0;
+  std::atomic<std::uint64_t> frames_rejected_ = 0;
   std::unique_ptr<WebSocketNode> sockets_;
 };
 
