Decide admission in a class of its own and spread the return of refused callers

Cause: deadlines, the decision to refuse and Retry-After were parts of StepScheduler, and every refused caller was told to return after one second, so that callers refused in a burst would return as a burst. Change: Admission decides these without a network; Retry-After is the time in which the backlog is worked off, spread up to twice that by the job's id. Also adds StepScheduler::OpenJobs.

--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -50,9 +50,9 @@
       cxxopts::value<double>()->default_value("0"))(
       "racks", "share of jobs that require a rack",
       cxxopts::value<double>()->default_value("0"))(
-      "wait-percent", "see StepSchedulerOptions",
+      "wait-percent", "see AdmissionOptions",
       cxxopts::value<std::int64_t>()->default_value("50"))(
-      "late-percent", "see StepSchedulerOptions",
+      "late-percent", "see AdmissionOptions",
       cxxopts::value<std::int64_t>()->default_value("50"))(
       "urgent-ahead", "see StepSchedulerOptions",
       cxxopts::value<double>()->default_value("0.17"))(
@@ -88,9 +88,9 @@
     kind.rack_share = parsed["racks"].as<double>();
     kind.same_rack = parsed.count("same-rack") > 0;
   }
-  world_options.scheduler.wait_percent =
+  world_options.scheduler.admission.wait_percent =
       parsed["wait-percent"].as<std::int64_t>();
-  world_options.scheduler.late_percent =
+  world_options.scheduler.admission.late_percent =
       parsed["late-percent"].as<std::int64_t>();
   world_options.scheduler.urgent_ahead = parsed["urgent-ahead"].as<double>();
   world_options.scheduler.urgent_reserve =
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -7,10 +7,7 @@
 namespace geranium {
 namespace {
 
-/// An answer later than this many times the latency objective is of no use to
-/// the caller.
-constexpr std::int64_t kDeadlineObjectiveMultiple = 3;
-/// Retry-after of a refusal: about as long as a full queue takes to drain.
+/// Retry-after where no backlog is the reason.
 constexpr Duration kRetryAfter{1000};
 /// In cores; avoids a division by zero while there is no worker.
 constexpr double kMinCapacity = 0.1;
@@ -18,7 +15,9 @@
 }  // namespace
 
 StepScheduler::StepScheduler(StepSchedulerOptions options)
-    : options_(std::move(options)), urgent_reserve_(options_.urgent_reserve) {}
+    : options_(std::move(options)),
+      admission_(options_.admission),
+      urgent_reserve_(options_.urgent_reserve) {}
 
 std::vector<StepAction> StepScheduler::TakeActions() {
   return std::exchange(actions_, {});
@@ -91,17 +90,8 @@
   job.held = held;
   // Another run may have started, so an answer that nothing ran could be wrong.
   job.may_have_run = held;
-  const Duration objective =
-      Duration(static_cast<std::int64_t>(
-          static_cast<double>(CriticalPath(spec).ms()) * route.slack_factor)) +
-      route.target_latency;
-  const Duration critical_path = CriticalPath(spec);
-  job.answer_deadline = now + caller_timeout;
-  job.latest_start =
-      now + (objective - critical_path) * options_.wait_percent / 100;
-  job.start_deadline =
-      now + std::min(caller_timeout, objective * kDeadlineObjectiveMultiple) -
-      critical_path;
+  job.deadlines =
+      admission_.DeadlinesOf(CriticalPath(spec), route, caller_timeout, now);
   const std::string unsupported = UnsupportedReason(spec, route);
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
@@ -120,8 +110,10 @@
            "no known worker of the service has the required capacity and label",
            now);
   } else if (const Backlog backlog = EstimateBacklog(route.priority);
-             IsQueueTooLong(kept, backlog, now)) {
-    Answer(kept, StepAnswer::kRefused, kRetryAfter,
+             !discovering_ &&
+             admission_.IsQueueTooLong(kept.deadlines, backlog, now)) {
+    Answer(kept, StepAnswer::kRefused,
+           Admission::RetryAfter(kept.spec.id, backlog),
            "the expected queueing time is too long for the objective", now);
   } else {
     LogAdmitted(kept, backlog.in_time);
@@ -158,7 +150,7 @@
 
 // Divides the estimated work of all waiting tasks by this entry's share of the
 // workers' cores.
-StepScheduler::Backlog StepScheduler::EstimateBacklog(int priority) const {
+Backlog StepScheduler::EstimateBacklog(int priority) const {
   double in_time = 0;
   double total = 0;
   for (const QueueKey& key : queue_) {
@@ -177,21 +169,12 @@
           Duration(static_cast<std::int64_t>(total / share))};
 }
 
-// While workers are still being discovered, the capacity is unknown; jobs that
-// cannot be served are then refused at their start deadline.
-bool StepScheduler::IsQueueTooLong(const Job& job, const Backlog& backlog,
-                                   TimePoint now) const {
-  if (discovering_ || now + backlog.in_time <= job.latest_start) return false;
-  return backlog.total >
-         (job.start_deadline - now) * options_.late_percent / 100;
-}
-
 void StepScheduler::RequeueLateJobs(TimePoint now) {
   std::vector<JobNumber> late;
   for (const QueueKey& key : queue_) {
     const Job& job = jobs_.at(key.number);
     const bool is_late =
-        !job.late && !job.may_have_run && now > job.latest_start;
+        !job.late && !job.may_have_run && now > job.deadlines.latest_start;
     if (is_late) late.push_back(key.number);
   }
   for (const JobNumber number : late) {
@@ -250,6 +233,13 @@
       }));
 }
 
+std::vector<StepJobId> StepScheduler::OpenJobs() const {
+  std::vector<StepJobId> open;
+  open.reserve(by_id_.size());
+  for (const auto& [id, number] : by_id_) open.push_back(id);
+  return open;
+}
+
 void StepScheduler::Release(const StepJobId& id, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
@@ -289,8 +279,8 @@
   std::vector<JobNumber> expired;
   for (const auto& [number, job] : jobs_) {
     if (job.answered) continue;
-    const TimePoint end =
-        job.may_have_run ? job.answer_deadline : job.start_deadline;
+    const TimePoint end = job.may_have_run ? job.deadlines.answer_deadline
+                                           : job.deadlines.start_deadline;
     if (now >= end) expired.push_back(number);
   }
   for (const JobNumber number : expired) {
@@ -299,7 +289,9 @@
       Answer(job, StepAnswer::kAbandoned, Duration(0),
              "the caller's timeout expired", now);
     } else {
-      Answer(job, StepAnswer::kRefused, kRetryAfter,
+      Answer(job, StepAnswer::kRefused,
+             Admission::RetryAfter(job.spec.id,
+                                   EstimateBacklog(job.route.priority)),
              "no worker had free capacity before the start deadline", now);
     }
     EraseIfDone(number);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -14,6 +14,7 @@
 #include "base/ids.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
+#include "entry/admission.h"
 #include "entry/step_actions.h"
 #include "entry/urgent_reserve.h"
 #include "link/messages.h"
@@ -25,16 +26,7 @@
   DataCentreName data_centre;  ///< The entry's own.
   /// Run time outside the data's rack, relative to that within it.
   double cross_rack_factor = 1.5;
-  /// Percentage of a job's slack (latency objective less critical path) that it
-  /// may wait. Beyond it the job counts as late: it yields to jobs still on
-  /// time, or, on arrival, is refused (but see `late_percent`). Below 100 since
-  /// estimates are rough, and a job that starts at the last moment often
-  /// finishes late.
-  std::int64_t wait_percent = 50;
-  /// A job that cannot start in time for its objective is still admitted if the
-  /// whole backlog takes at most this percentage of the time until its start
-  /// deadline: a late answer is of use to the caller, a refusal is not.
-  std::int64_t late_percent = 50;
+  AdmissionOptions admission;
   /// Tasks of the most urgent priority may queue at a full worker, ahead of all
   /// others, up to this fraction of its cores. Where a task takes more than
   /// that, only a few run at once and a place is too long in coming.
@@ -92,6 +84,8 @@
   void Relinquish(const StepJobId& id, TimePoint now);
   std::vector<StepJobId> TakeRelinquished();
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
+  /// Jobs that may have a run, including answered ones that are being stopped.
+  std::vector<StepJobId> OpenJobs() const;
 
   // Workers.
 
@@ -149,10 +143,7 @@
     StepJob spec;
     Route route;
     TimePoint submitted;
-    /// A job not started by then is late: see `wait_percent`.
-    TimePoint latest_start;
-    TimePoint start_deadline;   ///< Refused if not started by then.
-    TimePoint answer_deadline;  ///< The caller stops waiting then.
+    JobDeadlines deadlines;
     std::vector<Step> steps;
     std::size_t waiting = 0;
     std::size_t open_attempts = 0;  ///< Not known to have ended.
@@ -206,15 +197,7 @@
   static QueueKey QueueKeyOf(const Job& job, JobNumber number) {
     return {job.late, job.route.priority, number};
   }
-  /// Expected time to work off what waits ahead of a new job.
-  struct Backlog {
-    Duration in_time;  ///< Ahead of a job that is not late.
-    Duration total;    ///< Ahead of a late one.
-  };
-
   Backlog EstimateBacklog(int priority) const;
-  bool IsQueueTooLong(const Job& job, const Backlog& backlog,
-                      TimePoint now) const;
   double CapacityShare(TimePoint now) const;
   void RequeueLateJobs(TimePoint now);
   std::string UnsupportedReason(const StepJob& job, const Route& route) const;
@@ -279,6 +262,7 @@
   void Log(LogLevel level, const std::string& event, LogFields fields);
 
   StepSchedulerOptions options_;
+  Admission admission_;
   const RouteTable* table_ = nullptr;
   JobNumber next_job_ = 1;
   std::uint64_t next_attempt_ = 1;
