Hand a job over to one entry only, and tell new links which jobs are open

(1) An entry asked for a job by two others told both that it had no run left, and both started it. (2) An entry that held a job for which it waited itself gave it on at once, although the first entry's runs had not ended; the same after a second submission to the waiting entry. (3) An announcement that was lost with its link was not repeated, so that a job resubmitted after callers and links were reset together started while its first runs were being stopped. Change: the first to ask gets the job, others are told whom to ask (job_moved); a hand-over that waits is passed on only when it has ended; each new link between entries begins with the open jobs.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -19,6 +19,7 @@
   const bool is_lost =
       last_heard == entry_heard_.end() ||
       now - last_heard->second > StepScheduler::kWorkerLostTimeout;
+  found->second.successor.reset();
   if (is_lost) return false;
   handovers_[job] = Handover{entry, now};
   if (const auto link = LinkOf(entry)) Send(*link, JobHandoverRequest{job});
@@ -32,22 +33,63 @@
   const Peer& peer = peers_[link];
   if (!peer.hello) return;
   for (const StepJobId& job : accepted.jobs) {
-    remote_jobs_[job] = RemoteJob{peer.hello->incarnation, now};
-    remote_job_expiry_.emplace(now + kRemoteJobRetention, job);
+    KeepRemoteJob(job, now).entry = peer.hello->incarnation;
   }
 }
 
+StepEntryNode::RemoteJob& StepEntryNode::KeepRemoteJob(const StepJobId& job,
+                                                       TimePoint now) {
+  RemoteJob& remote = remote_jobs_[job];
+  remote.announced_at = now;
+  remote_job_expiry_.emplace(now + kRemoteJobRetention, job);
+  return remote;
+}
+
+// The entry that is to get the job next, or that has got it from here.
+std::optional<Incarnation> StepEntryNode::SuccessorOf(
+    const StepJobId& job) const {
+  const auto requester = handover_requesters_.find(job);
+  if (requester != handover_requesters_.end()) return requester->second.entry;
+  const auto remote = remote_jobs_.find(job);
+  if (remote == remote_jobs_.end()) return std::nullopt;
+  return remote->second.successor;
+}
+
+// A job is handed over to one entry only: a caller that loses two connections
+// in a row has two other entries ask for its job.
 void StepEntryNode::On(LinkId link, const JobHandoverRequest& request,
                        TimePoint now) {
-  handover_requesters_[request.job].push_back(link);
+  const Peer& peer = peers_[link];
+  if (!peer.hello) return;
+  const Incarnation requester = peer.hello->incarnation;
+  const std::optional<Incarnation> successor = SuccessorOf(request.job);
+  if (successor && *successor != requester) {
+    Send(link, JobMoved{request.job, *successor});
+    return;
+  }
+  handover_requesters_[request.job] = HandoverRequester{requester, link};
   scheduler_.Relinquish(request.job, now);
   Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
 }
 
 void StepEntryNode::On(LinkId /*link*/, const JobHandedOver& handed,
                        TimePoint now) {
-  if (handovers_.erase(handed.job) == 0) return;
-  scheduler_.Release(handed.job, now);
+  if (handovers_.contains(handed.job)) EndHandover(handed.job, now);
+}
+
+void StepEntryNode::On(LinkId /*link*/, const JobMoved& moved, TimePoint now) {
+  const auto found = handovers_.find(moved.job);
+  if (found == handovers_.end()) return;
+  found->second = Handover{moved.entry, now};
+  if (const auto next = LinkOf(moved.entry)) {
+    Send(*next, JobHandoverRequest{moved.job});
+  }
+}
+
+void StepEntryNode::EndHandover(const StepJobId& job, TimePoint now) {
+  handovers_.erase(job);
+  scheduler_.Release(job, now);
+  if (!scheduler_.HasJob(job)) SendHandedOver(job, now);
 }
 
 // An entry that was killed, froze or lost its machine sends no heartbeats to
@@ -68,28 +110,38 @@
       Send(*link, JobHandoverRequest{job});
     }
   }
-  for (const StepJobId& job : ended) {
-    handovers_.erase(job);
-    scheduler_.Release(job, now);
-  }
+  for (const StepJobId& job : ended) EndHandover(job, now);
 }
 
-void StepEntryNode::NotifyHandoverRequesters(TimePoint now) {
+void StepEntryNode::OnRelinquished(TimePoint now) {
   for (const StepJobId& job : scheduler_.TakeRelinquished()) {
     const auto own = handovers_.find(job);
-    if (own != handovers_.end() && own->second.from == options_.incarnation) {
-      handovers_.erase(own);
-      scheduler_.Release(job, now);
-    }
-    const auto requesters = handover_requesters_.find(job);
-    if (requesters == handover_requesters_.end()) continue;
-    for (const LinkId link : requesters->second) {
-      if (peers_.contains(link)) Send(link, JobHandedOver{job});
+    if (own == handovers_.end()) {
+      SendHandedOver(job, now);
+    } else if (own->second.from == options_.incarnation) {
+      EndHandover(job, now);
     }
-    handover_requesters_.erase(requesters);
+    // Otherwise the entry that had it before may still have runs of it.
   }
 }
 
+void StepEntryNode::SendHandedOver(const StepJobId& job, TimePoint now) {
+  const auto found = handover_requesters_.find(job);
+  if (found == handover_requesters_.end()) return;
+  const HandoverRequester requester = found->second;
+  handover_requesters_.erase(found);
+  RemoteJob& remote = KeepRemoteJob(job, now);
+  remote.entry = requester.entry;
+  remote.successor = requester.entry;
+  if (peers_.contains(requester.link)) Send(requester.link, JobHandedOver{job});
+}
+
+// Announcements may have been lost with an earlier link.
+void StepEntryNode::SendOpenJobs(LinkId link) {
+  JobsAccepted accepted{scheduler_.OpenJobs()};
+  if (!accepted.jobs.empty()) Send(link, std::move(accepted));
+}
+
 void StepEntryNode::AnnounceJobs() {
   if (unannounced_.empty()) return;
   const JobsAccepted accepted{std::exchange(unannounced_, {})};
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -67,7 +67,7 @@
   if (scheduler_.HasJob(id)) {
     // Resubmitted while the first submission is still in progress here.
     scheduler_.Relinquish(id, now);
-    handovers_[id] = Handover{options_.incarnation, now};
+    handovers_.try_emplace(id, Handover{options_.incarnation, now});
   }
   const bool held = handovers_.contains(id) || RequestHandover(id, now);
   unannounced_.push_back(id);
@@ -160,6 +160,7 @@
   }
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
+  SendOpenJobs(link);
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
   // Already linked, so no ConnectEntry is needed.
   if (entry_addresses_.insert(hello.link_address).second) {
@@ -334,7 +335,7 @@
 }
 
 void StepEntryNode::CollectActions(TimePoint now) {
-  NotifyHandoverRequesters(now);
+  OnRelinquished(now);
   for (StepAction& action : scheduler_.TakeActions()) {
     if (auto* message = std::get_if<SendMessage>(&action)) {
       SendToAgent(std::move(*message), now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -114,6 +114,13 @@
   struct RemoteJob {
     Incarnation entry;
     TimePoint announced_at;
+    /// To which this entry has handed the job over.
+    std::optional<Incarnation> successor;
+  };
+  /// Who asked for a job and gets it once no run of it is left here.
+  struct HandoverRequester {
+    Incarnation entry;
+    LinkId link;
   };
   /// A job held here until `from` has no run of it left.
   struct Handover {
@@ -129,6 +136,7 @@
   void On(LinkId link, const JobsAccepted& accepted, TimePoint now);
   void On(LinkId link, const JobHandoverRequest& request, TimePoint now);
   void On(LinkId link, const JobHandedOver& handed, TimePoint now);
+  void On(LinkId link, const JobMoved& moved, TimePoint now);
   void On(LinkId link, const WorkerCard& card, TimePoint now);
   void On(LinkId link, const WorkerReport& report, TimePoint now);
   void On(LinkId link, const AttemptList& list, TimePoint now);
@@ -138,8 +146,13 @@
 
   bool RequestHandover(const StepJobId& job, TimePoint now);
   void CheckHandovers(TimePoint now);
-  void NotifyHandoverRequesters(TimePoint now);
+  void EndHandover(const StepJobId& job, TimePoint now);
+  void OnRelinquished(TimePoint now);
+  void SendHandedOver(const StepJobId& job, TimePoint now);
+  std::optional<Incarnation> SuccessorOf(const StepJobId& job) const;
+  RemoteJob& KeepRemoteJob(const StepJobId& job, TimePoint now);
   void AnnounceJobs();
+  void SendOpenJobs(LinkId link);
   void SendHeartbeats(TimePoint now);
   void SendHeartbeat(LinkId link, Peer& peer, TimePoint now);
   void SendToAgent(SendMessage action, TimePoint now);
@@ -160,7 +173,7 @@
   std::unordered_map<StepJobId, RemoteJob> remote_jobs_;
   std::multimap<TimePoint, StepJobId> remote_job_expiry_;
   std::unordered_map<StepJobId, Handover> handovers_;
-  std::unordered_map<StepJobId, std::vector<LinkId>> handover_requesters_;
+  std::unordered_map<StepJobId, HandoverRequester> handover_requesters_;
   std::vector<StepJobId> unannounced_;
   /// Addresses of entries that linked peers may not know yet.
   std::vector<std::string> new_members_;
--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -35,7 +35,8 @@
     "route_table_push",
     "jobs_accepted",
     "job_handover_request",
-    "job_handed_over"};
+    "job_handed_over",
+    "job_moved"};
 
 }  // namespace
 
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -190,6 +190,18 @@
   }
 };
 
+/// Refuses a handover request: the sender hands the job over, or has done so,
+/// to another entry, which is to be asked instead.
+struct JobMoved {
+  StepJobId job;
+  Incarnation entry;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(entry);
+  }
+};
+
 }  // namespace geranium
 
 #endif  // GERANIUM_LINK_STEP_MESSAGES_H_
--- a/tests/step_simulator_faults_test.cc
+++ b/tests/step_simulator_faults_test.cc
@@ -60,7 +60,7 @@
   StepSimulatorOptions options = Options(1.43);
   const LoadResult result = RunLoad(options, kSeeds);
   // Jobs that cannot be served in time are refused at once.
-  options.scheduler.late_percent = 0;
+  options.scheduler.admission.late_percent = 0;
   const LoadResult in_time_only = RunLoad(options, kSeeds);
   CAPTURE(result.refused, in_time_only.refused);
   CHECK(3 * result.refused < 2 * in_time_only.refused);
@@ -178,6 +178,56 @@
   }
 }
 
+// The announcement of an accepted job is lost with the link that it was sent
+// over, and the job's caller goes to another entry once both are linked again.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with callers and entry links reset together, "
+                 "no task of a resubmitted job runs twice") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    StepSimulatorOptions options = OptionsWithoutLoad(seed);
+    options.resend_delay = Duration(150);
+    StepSimulator simulator(options);
+    simulator.Run(TimePoint(1600));
+    std::vector<int> jobs;
+    for (int i = 0; i < 12; ++i) jobs.push_back(simulator.Submit(0, LongJob()));
+    const auto age = static_cast<std::int64_t>(15 * seed);
+    simulator.At(TimePoint(1615 + age), [&simulator] {
+      // Their workers run on while these agents stop nothing.
+      for (int i = 0; i < 6; ++i) simulator.FreezeAgent(i, Duration(280));
+      simulator.ResetEntryLinks(0);
+      simulator.ResetCallers(0);
+    });
+    simulator.Run(TimePoint(6000));
+    CAPTURE(seed);
+    CheckCompleted(simulator, jobs);
+  }
+}
+
+// The caller loses two connections in a row. The second entry has the job held,
+// while the first waits for agents that cannot stop its runs yet.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with a job resubmitted twice while its first "
+                 "entry stops it, it runs at one entry only") {
+  const int third = GENERATE(0, 1, 2);
+  for (const std::int64_t gap : {1, 5, 40, 120, 260}) {
+    StepSimulatorOptions options = OptionsWithoutLoad();
+    StepSimulator simulator(options);
+    simulator.Run(TimePoint(1600));
+    const int job = simulator.Submit(0, LongJob());
+    simulator.At(TimePoint(1900), [&] {
+      for (int i = 0; i < options.workers; ++i) {
+        simulator.FreezeAgent(i, Duration(280));
+      }
+      simulator.Resubmit(job, 1);
+    });
+    simulator.At(TimePoint(1900 + gap),
+                 [&] { simulator.Resubmit(job, third); });
+    simulator.Run(TimePoint(9000));
+    CAPTURE(third, gap);
+    CheckCompleted(simulator, {job});
+  }
+}
+
 // Estimates are rough: a job may take far longer than estimated.
 TEST_CASE_METHOD(StepSimulatorTest,
                  "StepSimulator with an entry that leaves, every job it "
