Say "may have run" of a job that an earlier entry had, also where it is refused

Cause: an entry that was leaving, had no route table, knew no worker with the capacity or had too long a queue answered 503 to a job that it knew another entry had taken in, or that it had answered itself. 503 says that the job never runs. Entries also announced jobs that they had refused. Change: such a submission is answered 504; an entry remembers the jobs that it has answered after a task may have run as it remembers those of others. Only admitted jobs are announced.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -12,8 +12,8 @@
 }  // namespace
 
 bool StepEntryNode::RequestHandover(const StepJobId& job, TimePoint now) {
-  const auto found = remote_jobs_.find(job);
-  if (found == remote_jobs_.end()) return false;
+  const auto found = known_jobs_.find(job);
+  if (found == known_jobs_.end()) return false;
   const Incarnation entry = found->second.entry;
   const auto last_heard = entry_heard_.find(entry);
   const bool is_lost =
@@ -33,16 +33,16 @@
   const Peer& peer = peers_[link];
   if (!peer.hello) return;
   for (const StepJobId& job : accepted.jobs) {
-    KeepRemoteJob(job, now).entry = peer.hello->incarnation;
+    KeepKnownJob(job, now).entry = peer.hello->incarnation;
   }
 }
 
-StepEntryNode::RemoteJob& StepEntryNode::KeepRemoteJob(const StepJobId& job,
-                                                       TimePoint now) {
-  RemoteJob& remote = remote_jobs_[job];
-  remote.announced_at = now;
-  remote_job_expiry_.emplace(now + kRemoteJobRetention, job);
-  return remote;
+StepEntryNode::KnownJob& StepEntryNode::KeepKnownJob(const StepJobId& job,
+                                                     TimePoint now) {
+  KnownJob& known = known_jobs_[job];
+  known.updated_at = now;
+  known_job_expiry_.emplace(now + kKnownJobRetention, job);
+  return known;
 }
 
 // The entry that is to get the job next, or that has got it from here.
@@ -50,9 +50,9 @@
     const StepJobId& job) const {
   const auto requester = handover_requesters_.find(job);
   if (requester != handover_requesters_.end()) return requester->second.entry;
-  const auto remote = remote_jobs_.find(job);
-  if (remote == remote_jobs_.end()) return std::nullopt;
-  return remote->second.successor;
+  const auto known = known_jobs_.find(job);
+  if (known == known_jobs_.end()) return std::nullopt;
+  return known->second.successor;
 }
 
 // A job is handed over to one entry only: a caller that loses two connections
@@ -81,6 +81,8 @@
   const auto found = handovers_.find(moved.job);
   if (found == handovers_.end()) return;
   found->second = Handover{moved.entry, now};
+  // An entry not heard from yet gets the time that any other one has.
+  entry_heard_.try_emplace(moved.entry, now);
   if (const auto next = LinkOf(moved.entry)) {
     Send(*next, JobHandoverRequest{moved.job});
   }
@@ -130,9 +132,9 @@
   if (found == handover_requesters_.end()) return;
   const HandoverRequester requester = found->second;
   handover_requesters_.erase(found);
-  RemoteJob& remote = KeepRemoteJob(job, now);
-  remote.entry = requester.entry;
-  remote.successor = requester.entry;
+  KnownJob& known = KeepKnownJob(job, now);
+  known.entry = requester.entry;
+  known.successor = requester.entry;
   if (peers_.contains(requester.link)) Send(requester.link, JobHandedOver{job});
 }
 
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -40,15 +40,18 @@
 
 void StepEntryNode::OnSubmission(CallerHandle caller, StepSubmission submission,
                                  TimePoint now) {
+  const StepJobId id = submission.job.id;
   const auto refuse = [&](StepAnswer answer, const std::string& reason) {
     Log(LogLevel::kInfo, "job_refused",
-        {{"job", submission.job.id.value()}, {"reason", reason}});
+        {{"job", id.value()}, {"reason", reason}});
     actions_.emplace_back(
         AnswerStepJob{caller, answer, kRetryAfterStart, reason});
   };
+  const bool may_have_run = scheduler_.HasJob(id) || known_jobs_.contains(id);
+  const StepAnswer refusal =
+      may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
   if (!has_table()) {
-    refuse(StepAnswer::kRefused,
-           "this entry has not received a route table yet");
+    refuse(refusal, "this entry has not received a route table yet");
     return;
   }
   const Route* route = table_.Find(submission.host, submission.path);
@@ -59,22 +62,20 @@
   if (leave_deadline_ &&
       now + scheduler_.CriticalPath(submission.job) * kLeaveEstimateMultiple >
           *leave_deadline_) {
-    refuse(StepAnswer::kRefused,
-           "this entry is leaving and may not finish the job in time");
+    refuse(refusal, "this entry is leaving and may not finish the job in time");
     return;
   }
-  const StepJobId id = submission.job.id;
   if (scheduler_.HasJob(id)) {
     // Resubmitted while the first submission is still in progress here.
     scheduler_.Relinquish(id, now);
     handovers_.try_emplace(id, Handover{options_.incarnation, now});
   }
   const bool held = handovers_.contains(id) || RequestHandover(id, now);
-  unannounced_.push_back(id);
   const Duration caller_timeout =
       submission.caller_timeout.value_or(kDefaultCallerTimeout);
   scheduler_.Submit(caller, std::move(submission.job), *route, caller_timeout,
-                    held, now);
+                    {may_have_run, held}, now);
+  if (scheduler_.HasJob(id)) unannounced_.push_back(id);
   if (!held) scheduler_.PlaceWaitingTasks(now);
   CollectActions(now);
 }
@@ -269,15 +270,14 @@
   CloseSilentLinks(now);
   SendHeartbeats(now);
   scheduler_.OnTick(now);
-  while (!remote_job_expiry_.empty() &&
-         remote_job_expiry_.begin()->first <= now) {
-    const StepJobId job = remote_job_expiry_.begin()->second;
-    remote_job_expiry_.erase(remote_job_expiry_.begin());
-    const auto found = remote_jobs_.find(job);
-    const bool expired =
-        found != remote_jobs_.end() &&
-        now - found->second.announced_at >= kRemoteJobRetention;
-    if (expired) remote_jobs_.erase(found);
+  while (!known_job_expiry_.empty() &&
+         known_job_expiry_.begin()->first <= now) {
+    const StepJobId job = known_job_expiry_.begin()->second;
+    known_job_expiry_.erase(known_job_expiry_.begin());
+    const auto found = known_jobs_.find(job);
+    const bool expired = found != known_jobs_.end() &&
+                         now - found->second.updated_at >= kKnownJobRetention;
+    if (expired) known_jobs_.erase(found);
   }
   CollectActions(now);
 }
@@ -336,6 +336,9 @@
 
 void StepEntryNode::CollectActions(TimePoint now) {
   OnRelinquished(now);
+  for (const StepJobId& job : scheduler_.TakeEnded()) {
+    KeepKnownJob(job, now);
+  }
   for (StepAction& action : scheduler_.TakeActions()) {
     if (auto* message = std::get_if<SendMessage>(&action)) {
       SendToAgent(std::move(*message), now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -48,8 +48,8 @@
   static constexpr Duration kPeerHeartbeatInterval{250};
   /// A link on which nothing was received for this long is closed.
   static constexpr Duration kLinkTimeout{800};
-  /// How long a job announced by another entry is remembered.
-  static constexpr Duration kRemoteJobRetention{10'000};
+  /// How long a job that was announced, or answered here, is remembered.
+  static constexpr Duration kKnownJobRetention{10'000};
 
   explicit StepEntryNode(StepEntryOptions options);
 
@@ -110,10 +110,10 @@
     std::vector<TaskEndAck> acknowledgements;
     bool pull_sent = false;
   };
-  /// A job that another entry announced as accepted.
-  struct RemoteJob {
-    Incarnation entry;
-    TimePoint announced_at;
+  /// A job that this or another entry has or had.
+  struct KnownJob {
+    Incarnation entry;  ///< The other entry that announced it last, if any.
+    TimePoint updated_at;
     /// To which this entry has handed the job over.
     std::optional<Incarnation> successor;
   };
@@ -150,7 +150,7 @@
   void OnRelinquished(TimePoint now);
   void SendHandedOver(const StepJobId& job, TimePoint now);
   std::optional<Incarnation> SuccessorOf(const StepJobId& job) const;
-  RemoteJob& KeepRemoteJob(const StepJobId& job, TimePoint now);
+  KnownJob& KeepKnownJob(const StepJobId& job, TimePoint now);
   void AnnounceJobs();
   void SendOpenJobs(LinkId link);
   void SendHeartbeats(TimePoint now);
@@ -170,8 +170,8 @@
   std::map<Incarnation, LinkId> entry_links_;
   std::map<Incarnation, TimePoint> entry_heard_;
   std::set<std::string> entry_addresses_;
-  std::unordered_map<StepJobId, RemoteJob> remote_jobs_;
-  std::multimap<TimePoint, StepJobId> remote_job_expiry_;
+  std::unordered_map<StepJobId, KnownJob> known_jobs_;
+  std::multimap<TimePoint, StepJobId> known_job_expiry_;
   std::unordered_map<StepJobId, Handover> handovers_;
   std::unordered_map<StepJobId, HandoverRequester> handover_requesters_;
   std::vector<StepJobId> unannounced_;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -27,6 +27,10 @@
   return std::exchange(relinquished_, {});
 }
 
+std::vector<StepJobId> StepScheduler::TakeEnded() {
+  return std::exchange(ended_, {});
+}
+
 // ---- admission
 
 std::string StepScheduler::UnsupportedReason(const StepJob& job,
@@ -80,16 +84,15 @@
 
 void StepScheduler::Submit(CallerHandle caller, StepJob spec,
                            const Route& route, Duration caller_timeout,
-                           bool held, TimePoint now) {
+                           Precedent precedent, TimePoint now) {
   ++counters_.submitted;
   const JobNumber number = next_job_++;
   Job job;
   job.caller = caller;
   job.route = route;
   job.submitted = now;
-  job.held = held;
-  // Another run may have started, so an answer that nothing ran could be wrong.
-  job.may_have_run = held;
+  job.held = precedent.hold;
+  job.may_have_run = precedent.may_have_run;
   job.deadlines =
       admission_.DeadlinesOf(CriticalPath(spec), route, caller_timeout, now);
   const std::string unsupported = UnsupportedReason(spec, route);
@@ -106,14 +109,13 @@
   if (!unsupported.empty()) {
     Answer(kept, StepAnswer::kUnsupported, kRetryAfter, unsupported, now);
   } else if (!fits && !discovering_) {
-    Answer(kept, StepAnswer::kRefused, kRetryAfter,
+    Answer(kept, RefusalOf(kept), kRetryAfter,
            "no known worker of the service has the required capacity and label",
            now);
   } else if (const Backlog backlog = EstimateBacklog(route.priority);
              !discovering_ &&
              admission_.IsQueueTooLong(kept.deadlines, backlog, now)) {
-    Answer(kept, StepAnswer::kRefused,
-           Admission::RetryAfter(kept.spec.id, backlog),
+    Answer(kept, RefusalOf(kept), Admission::RetryAfter(kept.spec.id, backlog),
            "the expected queueing time is too long for the objective", now);
   } else {
     LogAdmitted(kept, backlog.in_time);
@@ -126,6 +128,12 @@
   EraseIfDone(number);
 }
 
+// A refusal says that nothing of the job has run or will run, which is not
+// known of a job that an earlier entry had.
+StepAnswer StepScheduler::RefusalOf(const Job& job) {
+  return job.may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
+}
+
 double StepScheduler::CoreMs(const StepJob& job) {
   double sum = 0;
   for (const StepSpec& step : job.steps) {
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -68,10 +68,15 @@
 
   // Callers.
 
-  /// Admits the job, or answers it at once. A `held` job is not dispatched
-  /// until it is released.
+  /// What is known of earlier submissions of a job.
+  struct Precedent {
+    bool may_have_run = false;
+    bool hold = false;  ///< Dispatch only once the job is released.
+  };
+
+  /// Admits the job, or answers it at once.
   void Submit(CallerHandle caller, StepJob job, const Route& route,
-              Duration caller_timeout, bool held, TimePoint now);
+              Duration caller_timeout, Precedent precedent, TimePoint now);
   /// Abandons the job of a caller that has disconnected.
   void OnCallerGone(CallerHandle caller, TimePoint now);
   /// Cancels an open job at its caller's request; false if it is unknown.
@@ -83,6 +88,8 @@
   /// `TakeRelinquished` returns it once no attempt of it is open.
   void Relinquish(const StepJobId& id, TimePoint now);
   std::vector<StepJobId> TakeRelinquished();
+  /// Jobs answered since the last call of which a task may have run.
+  std::vector<StepJobId> TakeEnded();
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
   /// Jobs that may have a run, including answered ones that are being stopped.
   std::vector<StepJobId> OpenJobs() const;
@@ -198,6 +205,7 @@
     return {job.late, job.route.priority, number};
   }
   Backlog EstimateBacklog(int priority) const;
+  static StepAnswer RefusalOf(const Job& job);
   double CapacityShare(TimePoint now) const;
   void RequeueLateJobs(TimePoint now);
   std::string UnsupportedReason(const StepJob& job, const Route& route) const;
@@ -281,6 +289,7 @@
   /// This entry's share of the workers' cores.
   double capacity_share_ = 0;
   std::vector<StepJobId> relinquished_;
+  std::vector<StepJobId> ended_;
   StepCounters counters_;
   std::vector<StepAction> actions_;
 };
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -121,6 +121,7 @@
   if (job.answered) return;
   job.answered = true;
   by_caller_.erase(job.caller);
+  if (job.may_have_run) ended_.push_back(job.spec.id);
   switch (answer) {
     case StepAnswer::kCompleted:
       ++counters_.completed;
--- a/tests/step_simulator_faults_test.cc
+++ b/tests/step_simulator_faults_test.cc
@@ -228,6 +228,28 @@
   }
 }
 
+// The job runs at its first entry, whose answer can no longer reach the caller.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with a running job resubmitted to an entry "
+                 "that takes nothing in, its caller is not told that it never "
+                 "runs") {
+  const bool leaves = GENERATE(true, false);
+  const TimePoint begin(6000);  // The entries know their workers by then.
+  StepSimulator simulator(OptionsWithoutLoad());
+  simulator.Run(begin);
+  const int job = simulator.Submit(0, LongJob());
+  simulator.At(begin + Duration(300), [&] {
+    if (leaves) return simulator.LeaveEntry(1, Duration(10));
+    for (int i = 0; i < 400; ++i) simulator.Submit(1, LongJob());
+  });
+  simulator.At(begin + Duration(310), [&] { simulator.Resubmit(job, 1); });
+  simulator.Run(begin + Duration(12'000));
+  CAPTURE(leaves);
+  REQUIRE(simulator.AnswerOf(job).has_value());
+  CHECK(Name(*simulator.AnswerOf(job)) != Name(StepAnswer::kRefused));
+  CheckNoViolations(simulator);
+}
+
 // Estimates are rough: a job may take far longer than estimated.
 TEST_CASE_METHOD(StepSimulatorTest,
                  "StepSimulator with an entry that leaves, every job it "
