Let runs go on through half a second of silence

Cause: agents stopped the runs of an entry whose heartbeat echo was older than 500 ms. A frozen agent lost its runs after 400 ms if they had started while a poll of 300 ms was waiting, since their lease is renewed after that poll. Change: 700 ms for the echo, 120 ms for a poll while idle, and 1500 ms (the sum of echo and lease, and a margin) until an entry counts a silent worker's runs as ended. The model of a worker renews leases when a poll arrives, as workers do, not when it is answered.

--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -61,8 +61,8 @@
   static constexpr Duration kWorkerStaleTimeout{300};
   /// A worker not heard from for this long runs none of this entry's tasks any
   /// more: its agent stops them when the entry's heartbeats cease, or their
-  /// lease runs out.
-  static constexpr Duration kWorkerLostTimeout{1350};
+  /// lease runs out. At least the sum of both times.
+  static constexpr Duration kWorkerLostTimeout{1500};
 
   explicit StepScheduler(StepSchedulerOptions options);
 
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -55,8 +55,9 @@
 class WorkerSession {
  public:
   /// An entry that has not proved itself alive for this long loses its
-  /// runs.
-  static constexpr Duration kEntryTimeout{500};
+  /// runs. A silence of half a second is borne: the proof is older than that
+  /// by up to one and a half heartbeat intervals.
+  static constexpr Duration kEntryTimeout{700};
   /// A link on which nothing was received for this long is redialled.
   static constexpr Duration kLinkTimeout{800};
   static constexpr Duration kHeartbeatInterval{100};
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -13,8 +13,9 @@
 constexpr Duration kLossyPollWait{20};
 /// How long after a lost answer further losses are expected.
 constexpr Duration kLossyPeriod{3000};
-/// Long-poll wait while idle: well within the lease of the next start.
-constexpr Duration kIdlePollWait{300};
+/// Long-poll wait while idle. A run that starts meanwhile has its lease renewed
+/// after it, with enough of the lease left to bear a silence of half a second.
+constexpr Duration kIdlePollWait{120};
 /// Long-poll wait while an order is in doubt.
 constexpr Duration kInDoubtPollWait{20};
 /// Delay after a failed poll, from its start if the worker answered lately.
--- a/standins/sized_worker.cc
+++ b/standins/sized_worker.cc
@@ -67,6 +67,16 @@
   return outcome;
 }
 
+void SizedWorker::Renew(const PollRuns& order, TimePoint now) {
+  Advance(now);
+  if (order.worker != self_.id || order.fencing_token < fencing_token_) return;
+  fencing_token_ = order.fencing_token;
+  if (!order.lease_until_ms) return;
+  lease_until_ms_ =
+      std::max(lease_until_ms_,
+               std::min(*order.lease_until_ms, ClockMs(now) + kMaxLeaseMs));
+}
+
 PollOutcome SizedWorker::Poll(const PollRuns& order, TimePoint now) {
   Advance(now);
   PollOutcome outcome;
@@ -80,13 +90,8 @@
     outcome.reply = OrderReply::kFenced;
     return outcome;
   }
-  fencing_token_ = order.fencing_token;
+  Renew(order, now);
   outcome.reply = OrderReply::kAccepted;
-  if (order.lease_until_ms) {
-    lease_until_ms_ =
-        std::max(lease_until_ms_,
-                 std::min(*order.lease_until_ms, ClockMs(now) + kMaxLeaseMs));
-  }
   std::erase_if(ended_, [&](const EndedRun& run) {
     return run.number <= order.acknowledged_end;
   });
--- a/standins/sized_worker.h
+++ b/standins/sized_worker.h
@@ -43,6 +43,8 @@
 
   OrderOutcome Start(const StartRun& order, TimePoint now);
   OrderOutcome Stop(const StopRun& order, TimePoint now);
+  /// Takes note of a poll's lease and token when it arrives.
+  void Renew(const PollRuns& order, TimePoint now);
   /// Lists running and unacknowledged ended runs at once, without waiting.
   PollOutcome Poll(const PollRuns& order, TimePoint now);
   /// True if a run with a number above `acknowledged` has ended.
--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -104,7 +104,7 @@
        });
     return;
   }
-  agent.worker->Advance(now_);
+  agent.worker->Renew(order, now_);
   if (now_ < until &&
       !agent.worker->HasUnacknowledgedEnd(order.acknowledged_end)) {
     At(now_ + Duration(2), [this, index, incarnation, order, until] {
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -1,5 +1,6 @@
 #include "worker/worker_session.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -74,17 +75,39 @@
     Tick();
   }
 
-  TaskRun Order(LinkId link, std::uint64_t number) {
+  static OrderOutcome AcceptedOrder() {
+    OrderOutcome outcome;
+    outcome.reply = OrderReply::kAccepted;
+    return outcome;
+  }
+
+  static PollOutcome AcceptedPoll() {
+    PollOutcome outcome;
+    outcome.reply = OrderReply::kAccepted;
+    outcome.started_ms = 1;
+    return outcome;
+  }
+
+  TaskRun Order(LinkId link, std::uint64_t number,
+                Duration max_wait = Duration(40)) {
     StartTask order;
     order.attempt = AttemptId{Incarnation(link.value()), number};
     order.run = TaskRun{TaskName("t" + std::to_string(number)), 1};
     order.size = Resources{8, 1, 0};
     order.estimate = Duration(100);
-    order.max_wait = Duration(40);
+    order.max_wait = max_wait;
     session_.OnMessage(link, order, now_);
     return order.run;
   }
 
+  template <class Action>
+  int CountActions() const {
+    return static_cast<int>(std::count_if(
+        actions_.begin(), actions_.end(), [](const SessionAction& action) {
+          return std::holds_alternative<Action>(action);
+        }));
+  }
+
   template <class M>
   int CountSent(LinkId link) const {
     int count = 0;
@@ -98,6 +121,9 @@
     return count;
   }
 
+  /// The permission of an entry to run tasks expires within it, leases do not.
+  static constexpr Duration kPause{720};
+  static constexpr int kFullWorker = 4;
   inline static const LinkId kFirst{1};
   inline static const LinkId kSecond{2};
 
@@ -158,6 +184,69 @@
         WorkerSession::kHeartbeatInterval + Duration(1));
 }
 
+// The entry gave the order up while the agent stood still: it counts the runs
+// of a silent agent as ended and may have placed the task elsewhere.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession resumed after a pause returns orders that it "
+                 "was sent before, though its worker answers") {
+  Advance(Duration(50));
+  now_ = now_ + kPause;
+  session_.OnPollEnded(polls_.back().number, AcceptedPoll(), now_);
+  actions_.clear();
+  REQUIRE(session_.IsAccepting(now_));
+  Order(kFirst, 1);
+  Tick();
+  CHECK(CountActions<StartRun>() == 0);
+  CHECK(CountSent<TaskEnd>(kFirst) == 1);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession resumed after a pause starts none of the "
+                 "orders that were queued before") {
+  for (std::uint64_t i = 1; i <= kFullWorker + 1; ++i) {
+    Order(kFirst, i, Duration(60'000));
+  }
+  Tick();
+  REQUIRE(CountActions<StartRun>() == kFullWorker);
+  actions_.clear();
+  now_ = now_ + kPause;
+  Tick();
+  CHECK(CountActions<StartRun>() == 0);
+  CHECK(CountSent<TaskEnd>(kFirst) >= 1);
+}
+
+// Its entry counts these runs as ended once it has heard nothing for longer.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that no longer hears from an entry stops its "
+                 "runs, though the worker answers") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  actions_.clear();
+  PollOutcome outcome = AcceptedPoll();
+  outcome.running.push_back({run, 10});
+  const TimePoint end = now_ + kPause + Duration(100);
+  while (now_ < end) {
+    Advance(Duration(20));
+    AnswerPoll(outcome);
+  }
+  CHECK(CountActions<StopRun>() >= 1);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose entry was silent for a short while lets "
+                 "its run go on") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  AnswerPoll(PollOutcome{});
+  actions_.clear();
+  Advance(Duration(500));
+  SendHeartbeats();
+  Advance(Duration(300));
+  CHECK(CountActions<StopRun>() == 0);
+}
+
 // A restarted agent may be sent an announcement that was under way when its
 // worker shut down.
 TEST_CASE_METHOD(WorkerSessionTest,
