Read what callers sent during a stall before a leaving entry ends

An entry that is not scheduled for a while finds its time to end past before it has read what arrived meanwhile, counts no unanswered request and ends. Change: an entry does not end at a check that comes over 100 ms after the one before.

--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -20,6 +20,9 @@
 constexpr Duration kShutdownLinger{3500};
 /// While leaving, how often it is checked whether all is done.
 constexpr Duration kLeavingCheckInterval{20};
+/// After a longer interval between two checks the process was stalled, and what
+/// callers sent meanwhile may not have been read yet.
+constexpr Duration kMaxLeavingCheckInterval{100};
 
 }  // namespace
 
@@ -277,7 +280,10 @@
 
 void StepEntryServer::StopIfDone(TimePoint now) {
   const Duration elapsed = now - *leaving_since_;
-  const bool done = node_.IsIdle() && caller_server_.unanswered() == 0 &&
+  const bool stalled =
+      now - std::exchange(last_leaving_check_, now) > kMaxLeavingCheckInterval;
+  const bool done = !stalled && node_.IsIdle() &&
+                    caller_server_.unanswered() == 0 &&
                     elapsed >= kShutdownLinger;
   if (!done && elapsed < settings_.grace - kShutdownMargin) return;
   LogEvent(done ? LogLevel::kInfo : LogLevel::kWarning, "stopped",
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -83,6 +83,7 @@
   StepAnswerTimes answer_times_;
   std::unordered_map<CallerHandle, PendingRequest> pending_requests_;
   std::optional<TimePoint> leaving_since_;
+  TimePoint last_leaving_check_;
   int exit_status_ = 0;
 };
 
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -175,6 +175,23 @@
   CHECK(site.processes().AwaitExit("agent-0") == 0);
 }
 
+// The request waits unread when the entry, resumed, finds its time to end past.
+TEST_CASE(
+    "Platform entry terminated and stopped for a while: it answers what it was "
+    "sent meanwhile") {
+  PlatformSite site(29'700);
+  site.processes().Signal("entry-0", SIGTERM);
+  Sleep(3200);
+  site.processes().Signal("entry-0", SIGSTOP);
+  auto answer = site.SubmitAsync(0, "00000000000000ac", 20);
+  Sleep(800);
+  site.processes().Signal("entry-0", SIGCONT);
+  const int status = answer.get().status;
+  CAPTURE(status);
+  CHECK((status == 200 || status == 503));
+  CHECK(site.processes().AwaitExit("entry-0") == 0);
+}
+
 // Guards against a shutdown that waits for the job of a caller that hung up.
 TEST_CASE(
     "Platform entry terminated after its callers hung up: it exits cleanly") {
