--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -179,7 +179,7 @@
 TEST_CASE(
     "Platform entry terminated and stopped for a while: it answers what it was "
     "sent meanwhile") {
-  PlatformSite site(29'700);
+  PlatformSite site(30'400);
   site.processes().Signal("entry-0", SIGTERM);
   Sleep(3200);
   site.processes().Signal("entry-0", SIGSTOP);
--- a/tests/process/process_soak_test.cc
+++ b/tests/process/process_soak_test.cc
@@ -39,5 +39,13 @@
   CheckSeed(2, 29'200, false, soak::ProcessSoakOptions().length);
 }
 
+// Requests were cut off by a leaving entry that was not scheduled for a while
+// when its time to end came.
+TEST_CASE(
+    "Process soak seed 807, entry terminated under load: no request is "
+    "interrupted") {
+  CheckSeed(807, 30'000, true, soak::ProcessSoakOptions().length);
+}
+
 }  // namespace
 }  // namespace geranium::process
