--- a/tests/step_simulator_handover_test.cc
+++ b/tests/step_simulator_handover_test.cc
@@ -108,8 +108,15 @@
   const auto silence = GENERATE(500, 1000, 2000, 4000);
   const auto fault = GENERATE(0, 1, 2);
   StepSimulatorOptions options = OptionsWithoutLoad();
+  options.caller_timeout = Duration(30'000);
   StepSimulator simulator(options);
-  const std::vector<int> jobs = SubmitLongJobs(simulator);
+  simulator.Run(TimePoint(1600));
+  LoadClass load_class = LongJob();
+  load_class.mean_work = Duration(4000);
+  std::vector<int> jobs;
+  for (int i = 0; i < 12; ++i) {
+    jobs.push_back(simulator.Submit(i % options.entries, load_class));
+  }
   simulator.At(TimePoint(1900), [&] {
     for (int i = 0; i < options.workers; i += 2) {
       if (fault == 0) simulator.FreezeAgent(i, Duration(silence));
@@ -119,7 +126,7 @@
       if (fault == 2) simulator.FreezeEntry(i, Duration(silence));
     }
   });
-  simulator.Run(TimePoint(14'000));
+  simulator.Run(TimePoint(30'000));
   CAPTURE(fault, silence);
   CheckCompleted(simulator, jobs);
 }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -94,7 +94,7 @@
     order.attempt = AttemptId{Incarnation(link.value()), number};
     order.run = TaskRun{TaskName("t" + std::to_string(number)), 1};
     order.size = Resources{8, 1, 0};
-    order.estimate = Duration(100);
+    order.estimate = estimate_;
     order.max_wait = max_wait;
     session_.OnMessage(link, order, now_);
     return order.run;
@@ -128,6 +128,7 @@
   inline static const LinkId kSecond{2};
 
   TimePoint now_{1000};
+  Duration estimate_{100};  ///< Of the next orders.
   WorkerSession session_;
   std::vector<SessionAction> actions_;
   std::vector<PollRuns> polls_;
@@ -218,19 +219,23 @@
 // Its entry counts these runs as ended once it has heard nothing for longer.
 TEST_CASE_METHOD(WorkerSessionTest,
                  "WorkerSession that no longer hears from an entry stops its "
-                 "runs, though the worker answers") {
+                 "runs, though they progress and the worker answers") {
+  const bool is_entry_silent = GENERATE(true, false);
+  estimate_ = Duration(10'000);
   const TaskRun run = Order(kFirst, 1);
   Tick();
   session_.OnStartEnded(run, AcceptedOrder(), now_);
   actions_.clear();
-  PollOutcome outcome = AcceptedPoll();
-  outcome.running.push_back({run, 10});
   const TimePoint end = now_ + kPause + Duration(100);
-  while (now_ < end) {
+  for (int percent = 1; now_ < end; ++percent) {
     Advance(Duration(20));
+    PollOutcome outcome = AcceptedPoll();
+    outcome.running.push_back({run, percent});
     AnswerPoll(outcome);
+    if (!is_entry_silent) SendHeartbeats();
   }
-  CHECK(CountActions<StopRun>() >= 1);
+  CAPTURE(is_entry_silent);
+  CHECK((CountActions<StopRun>() > 0) == is_entry_silent);
 }
 
 TEST_CASE_METHOD(WorkerSessionTest,
