Add failing tests of a job that reaches one entry several times

Cause: not changed yet. A task may run twice at the same time: an entry that is sent a job three times, or twice and is then asked for it, lets it start again while runs of the first submission are still being stopped.

--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -250,5 +250,28 @@
   CHECK(Sent<JobsAccepted>(kSecond).empty());
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job three times while its first run is "
+                 "being stopped starts it again only after that run") {
+  Submit(1);
+  Submit(2);
+  Submit(3);
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+  EndTask(AttemptEnd::kStopped);
+  CHECK(Sent<StartTask>(kAgent).size() == 2);
+}
+
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job twice and asked for it hands it "
+                 "over only when its first run has ended") {
+  Submit(1);
+  Submit(2);
+  Receive(kSecond, JobHandoverRequest{job_});
+  CHECK(Sent<JobHandedOver>(kSecond).empty());
+  EndTask(AttemptEnd::kStopped);
+  CHECK(Sent<JobHandedOver>(kSecond).size() == 1);
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
