Count open runs of all submissions of a job before it starts again

What callers saw: a task of their job ran twice at the same time. A job whose connections break several times reaches one entry more than once. Cause: the scheduler found a job by its id in an index that keeps the newest submission only. A third submission relinquished the second one, which had started nothing, and that counted as the end of the job, while runs of the first submission were still being stopped. The same way a job sent twice was handed over to another entry at once, and a job whose newest submission had been answered was not among those told to a new link. Change: relinquished submissions with open attempts are counted by job; the job may start again, here or at another entry, when the count is zero.

--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -242,10 +242,9 @@
 }
 
 std::vector<StepJobId> StepScheduler::OpenJobs() const {
-  std::vector<StepJobId> open;
-  open.reserve(by_id_.size());
-  for (const auto& [id, number] : by_id_) open.push_back(id);
-  return open;
+  std::set<StepJobId> open;
+  for (const auto& [number, job] : jobs_) open.insert(job.spec.id);
+  return {open.begin(), open.end()};
 }
 
 void StepScheduler::Release(const StepJobId& id, TimePoint now) {
@@ -258,12 +257,14 @@
 void StepScheduler::Relinquish(const StepJobId& id, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) {
-    relinquished_.push_back(id);
+    if (!being_relinquished_.contains(id)) relinquished_.push_back(id);
     return;
   }
   const JobNumber number = found->second;
   Job& job = jobs_.at(number);
+  if (job.relinquished) return;
   job.relinquished = true;
+  ++being_relinquished_[id];
   if (!job.answered) {
     Answer(job, StepAnswer::kAbandoned, Duration(0),
            "the job was submitted again and is taken over", now);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -84,8 +84,8 @@
   std::size_t CountPending(const Route& route) const;
   /// Allows a held job to be dispatched.
   void Release(const StepJobId& id, TimePoint now);
-  /// Abandons the job so that another submission of it can run;
-  /// `TakeRelinquished` returns it once no attempt of it is open.
+  /// Abandons all submissions of the job so that another one can run;
+  /// `TakeRelinquished` returns it once no attempt of any of them is open.
   void Relinquish(const StepJobId& id, TimePoint now);
   std::vector<StepJobId> TakeRelinquished();
   /// Jobs answered since the last call of which a task may have run.
@@ -276,7 +276,9 @@
   std::uint64_t next_attempt_ = 1;
   std::map<JobNumber, Job> jobs_;
   std::unordered_map<CallerHandle, JobNumber> by_caller_;
-  std::unordered_map<StepJobId, JobNumber> by_id_;
+  std::unordered_map<StepJobId, JobNumber> by_id_;  ///< The newest submission.
+  /// Relinquished submissions with open attempts, counted by job.
+  std::unordered_map<StepJobId, std::size_t> being_relinquished_;
   /// Jobs with waiting tasks.
   std::set<QueueKey> queue_;
   std::map<Incarnation, Worker> workers_;
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -170,7 +170,13 @@
   if (!job.answered) return;
   queue_.erase(QueueKeyOf(job, number));
   if (job.open_attempts > 0) return;
-  if (job.relinquished) relinquished_.push_back(job.spec.id);
+  if (job.relinquished) {
+    const auto relinquished = being_relinquished_.find(job.spec.id);
+    if (--relinquished->second == 0) {
+      being_relinquished_.erase(relinquished);
+      relinquished_.push_back(job.spec.id);
+    }
+  }
   const auto by_id = by_id_.find(job.spec.id);
   if (by_id != by_id_.end() && by_id->second == number) by_id_.erase(by_id);
   jobs_.erase(found);
