Start nothing at a restarted worker before it announces its capacity

What users saw: a worker was started beyond its capacity. Cause: an agent learns of its worker's restart from the next poll, within 30 ms, and of the new incarnation's capacity and labels from its announcement, which may be lost or come 1.5 s later. In between it started tasks by the capacity of the incarnation before. Change: an agent accepts no orders until the announcement it has is of the incarnation that answers polls, and reports this to its entries at once. The log line of a registration says the capacity. Measured: the test failed before (it accepted orders) and passes.

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -48,6 +48,8 @@
     Log(LogLevel::kInfo, "worker_registered",
         {{"worker", announcement.id.value()},
          {"service", announcement.service.value()},
+         {"cpu", std::to_string(announcement.capacity.cpu)},
+         {"memory_mb", std::to_string(announcement.capacity.memory_mb)},
          {"started", std::to_string(announcement.started_ms)}});
     BeginIncarnation(now);
   }
@@ -72,6 +74,7 @@
 // fences off such an order once a poll with the new token is answered.
 void WorkerSession::BeginIncarnation(TimePoint now) {
   settled_ = false;
+  ++state_version_;
   acknowledged_end_ = 0;
   unknown_runs_.clear();
   run_statistics_ = RunStatistics();
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -208,6 +208,8 @@
   WorkerReport Report(const Peer& peer, TimePoint now) const;
   std::uint32_t CountEntries() const;
   bool HasCapacity(const Resources& size) const;
+  /// False after a poll has shown a restart, until the worker's announcement.
+  bool IsAnnouncementCurrent() const;
   std::int64_t LeaseUntil(TimePoint now) const;
   bool IsAlive(const Entry& entry, TimePoint now) const;
   Attempt* FindByRun(const TaskRun& run);
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -16,9 +16,15 @@
   return entry.linked && now - entry.last_alive_at <= kEntryTimeout;
 }
 
+bool WorkerSession::IsAnnouncementCurrent() const {
+  return worker_->started_ms == 0 || worker_->started_ms == started_ms_;
+}
+
+// A new incarnation may have another capacity, kind and rack than the last one.
 bool WorkerSession::IsAccepting(TimePoint now) const {
-  return worker_ && settled_ && !worker_left_ && !leaving_ &&
-         !worker_->draining && now - last_answer_at_ < kWorkerTimeout;
+  return worker_ && IsAnnouncementCurrent() && settled_ && !worker_left_ &&
+         !leaving_ && !worker_->draining &&
+         now - last_answer_at_ < kWorkerTimeout;
 }
 
 bool WorkerSession::HasCapacity(const Resources& size) const {
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -286,5 +286,30 @@
   CHECK_FALSE(session_.IsAccepting(now_));
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker has restarted starts nothing "
+                 "before the new incarnation has announced its capacity") {
+  Advance(Duration(50));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  for (int i = 0; i < 2; ++i) {  // The first shows the restart.
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  }
+  SendHeartbeats();
+  CHECK_FALSE(session_.IsAccepting(now_));
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{16, 1024, 0};
+  announcement.started_ms = 2;
+  session_.OnAnnouncement(announcement, now_);
+  CHECK(session_.IsAccepting(now_));
+  for (std::uint64_t i = 1; i <= kFullWorker; ++i) Order(kFirst, i);
+  Tick();
+  CHECK(CountActions<StartRun>() == kFullWorker / 2);
+}
+
 }  // namespace
 }  // namespace geranium
