Fence off unanswered starts when a silent worker's lease has ended

What users saw: two runs of a task, and a worker beyond its capacity. That this cause was behind it is suspected, not shown. Cause: an agent gives up all runs of a worker that does not answer when their leases have ended. A start whose answer was lost may be carried out seconds later; the agent no longer counts it, its entry has the task run elsewhere, and only the worker's check of the order's own deadline stood in the way. Change: the agent raises its fencing token when it gives such runs up. It starts nothing until a poll with that token has been answered, and from then on the worker rejects what was sent before. Measured: the test failed before (the next poll had the same token) and passes.

--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -244,12 +244,14 @@
       kLeaseDuration * kClockDriftPercent / 100 + kLeaseMargin;
   if (now < lease_end_ + slack) return;
   // All leases have expired. A run that is listed later all the same is stopped
-  // as unknown before anything else starts.
+  // as unknown before anything else starts, and a start that was not answered
+  // is fenced off by the next poll.
   settled_ = false;
   std::vector<AttemptId> ids;
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.state != State::kQueued) ids.push_back(id);
   }
+  if (!ids.empty()) ++fencing_token_;
   for (const AttemptId& id : ids) {
     End(id, AttemptEnd::kStopped, "the worker does not respond", now);
   }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -100,6 +100,15 @@
     return order.run;
   }
 
+  const StartRun& LastStart() const {
+    const StartRun* last = nullptr;
+    for (const SessionAction& action : actions_) {
+      if (const auto* start = std::get_if<StartRun>(&action)) last = start;
+    }
+    REQUIRE(last != nullptr);
+    return *last;
+  }
+
   template <class Action>
   int CountActions() const {
     return static_cast<int>(std::count_if(
@@ -311,5 +320,23 @@
   CHECK(CountActions<StartRun>() == kFullWorker / 2);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that gave up a start in doubt with its silent "
+                 "worker's lease fences it off before it starts anything") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  const std::uint64_t token = LastStart().fencing_token;
+  session_.OnStartEnded(run, OrderOutcome{}, now_);
+  const TimePoint end = now_ + WorkerSession::kLeaseDuration * 2;
+  while (now_ < end) {
+    Advance(Duration(50));
+    SendHeartbeats();
+    session_.OnPollEnded(polls_.back().number, PollOutcome{}, now_);
+  }
+  REQUIRE(CountSent<TaskEnd>(kFirst) == 1);
+  Advance(Duration(50));
+  CHECK(polls_.back().fencing_token > token);
+}
+
 }  // namespace
 }  // namespace geranium
