Renew no lease for runs that the agent does not know

What users saw: two runs of a task. That this cause was behind it is suspected, not shown. Cause: a restarted agent renewed the lease of its worker before it knew what ran there. Runs of the agent before it outlived the 1500 ms after which their entries count them as ended if the answers of that worker, and so the list of what to stop, were lost. Change: until a poll has shown that nothing unknown runs, the lease is renewed only for runs that the agent has started. Measured: the test failed before (the first poll renewed the lease) and passes.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -183,6 +183,7 @@
   void UpdateIncarnation(std::uint64_t started_ms, TimePoint now);
   void BeginIncarnation(TimePoint now);
   void RaiseFencingToken();
+  bool HasStartedAttempts() const;
   void PollIfDue(TimePoint now);
   void SendImmediatePoll(TimePoint now);
   void SendPoll(PollRuns poll, TimePoint now);
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -40,10 +40,18 @@
 
 }  // namespace
 
+bool WorkerSession::HasStartedAttempts() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [](const auto& item) {
+    return item.second.state != State::kQueued;
+  });
+}
+
 void WorkerSession::PollIfDue(TimePoint now) {
   if (!worker_ || long_poll_ != 0 || now < next_poll_) return;
   PollRuns poll;
-  if (now - last_answer_at_ < kWorkerTimeout) {
+  // Runs of an earlier agent must end in time though nobody stops them yet.
+  const bool may_renew = settled_ || HasStartedAttempts();
+  if (may_renew && now - last_answer_at_ < kWorkerTimeout) {
     poll.lease_until_ms = LeaseUntil(now);
     lease_end_ = std::max(lease_end_, now + kLeaseDuration);
   }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -338,5 +338,26 @@
   CHECK(polls_.back().fencing_token > token);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that does not know yet what runs at its worker "
+                 "renews no lease") {
+  WorkerSession restarted(Options());
+  WorkerAnnouncement worker;
+  worker.id = WorkerId("w");
+  worker.service = ServiceName("s");
+  worker.capacity = Resources{32, 1024, 0};
+  worker.started_ms = 1;
+  restarted.OnAnnouncement(worker, now_);
+  restarted.OnTick(now_);
+  int polls = 0;
+  for (const SessionAction& action : restarted.TakeActions()) {
+    const auto* poll = std::get_if<PollRuns>(&action);
+    if (poll == nullptr) continue;
+    ++polls;
+    CHECK_FALSE(poll->lease_until_ms.has_value());
+  }
+  CHECK(polls == 1);
+}
+
 }  // namespace
 }  // namespace geranium
