Compare polls with starts and stops by number, not by millisecond

Cause: when a stop has been accepted, an agent polls at once, and noted that poll as sent a millisecond later, to have it count as sent after the stop. A start on another connection that was answered in the same millisecond counted as older than the poll, although the worker had listed its runs before it began this one. The agent took the run for ended: its entry placed the task elsewhere, and its room was given to other tasks. Change: an attempt remembers the number of the first poll that was sent after its start or stop was answered. Only such polls can show that it has ended. Measured: the test failed before (the run was reported as ended, 0 of 8 cores counted) and passes; all unit tests pass.

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -84,6 +84,7 @@
   for (auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kRunning || attempt.state == State::kStarting) {
       attempt.state_since = now;
+      attempt.first_valid_poll = next_poll_number_;
     }
   }
   next_poll_ = now;
@@ -119,7 +120,7 @@
   StopRunsOfSilentEntries(now);
   ExpireQueued(now);
   for (auto& [id, attempt] : attempts_) {
-    if (attempt.state == State::kStopping && !attempt.stop_accepted_at &&
+    if (attempt.state == State::kStopping && !attempt.stop_accepted &&
         now - attempt.stop_sent_at > kStopRetryInterval) {
       SendStop(attempt, now);
     }
@@ -143,7 +144,7 @@
     if (attempt.state == State::kQueued) {
       next = std::min(next, attempt.state_since + attempt.order.max_wait);
     } else if (attempt.state == State::kStopping) {
-      if (attempt.stop_accepted_at) continue;  // A poll shows its end.
+      if (attempt.stop_accepted) continue;  // A poll shows its end.
       next = std::min(next, attempt.stop_sent_at + kStopRetryInterval);
       continue;
     }
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -131,7 +131,11 @@
     int percent = 0;
     bool has_run = false;
     bool speed_recorded = false;  ///< Its speed has been recorded.
-    std::optional<TimePoint> stop_accepted_at;
+    /// Only polls from this number on were sent after the answer to its start,
+    /// or to its stop once that is accepted; what earlier ones list or leave
+    /// out says nothing.
+    std::uint64_t first_valid_poll = 0;
+    bool stop_accepted = false;
     TimePoint stop_sent_at = TimePoint::Never();
     std::string stop_reason;
   };
@@ -175,10 +179,10 @@
            TimePoint now);
   void SendTaskEnd(Incarnation entry, const TaskEnd& end);
   void HandleEndedRuns(const PollOutcome& outcome, TimePoint now);
-  void ReconcileAttempts(const PollOutcome& outcome, TimePoint sent_at,
+  void ReconcileAttempts(const PollOutcome& outcome, std::uint64_t poll,
                          TimePoint now);
   void ReconcileAttempt(Attempt& attempt, const ListedRun* listed,
-                        TimePoint sent_at, TimePoint now);
+                        std::uint64_t poll, TimePoint now);
   void StopUnknownRuns(const PollOutcome& outcome, TimePoint now);
   void UpdateIncarnation(std::uint64_t started_ms, TimePoint now);
   void BeginIncarnation(TimePoint now);
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -126,6 +126,7 @@
     case OrderReply::kAccepted:
       attempt->state = State::kRunning;
       attempt->state_since = now;
+      attempt->first_valid_poll = next_poll_number_;
       attempt->has_run = true;
       break;
     case OrderReply::kNoAnswer:
@@ -198,9 +199,10 @@
   Attempt* attempt = FindByRun(run);
   if (attempt == nullptr || attempt->state != State::kStopping) return;
   if (outcome.reply == OrderReply::kAccepted) {
-    if (attempt->stop_accepted_at) return;
-    attempt->stop_accepted_at = now;
-    if (!attempt->has_run) SendImmediatePoll(now + Duration(1));
+    if (attempt->stop_accepted) return;
+    attempt->stop_accepted = true;
+    attempt->first_valid_poll = next_poll_number_;
+    if (!attempt->has_run) SendImmediatePoll(now);
   }
 }
 
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -120,7 +120,7 @@
   if (poll.fencing_token != fencing_token_)
     return;  // Sent with an earlier token.
   HandleEndedRuns(outcome, now);
-  ReconcileAttempts(outcome, poll.sent, now);
+  ReconcileAttempts(outcome, number, now);
   StopUnknownRuns(outcome, now);
   MeasureAndStopSlowRuns(now);
   StopStalled(now);
@@ -162,7 +162,7 @@
 }
 
 void WorkerSession::ReconcileAttempts(const PollOutcome& outcome,
-                                      TimePoint sent_at, TimePoint now) {
+                                      std::uint64_t poll, TimePoint now) {
   std::map<TaskRun, const ListedRun*> listed;
   for (const ListedRun& run : outcome.running) listed[run.run] = &run;
   std::vector<AttemptId> ids;
@@ -172,15 +172,17 @@
     if (found == attempts_.end()) continue;
     const auto entry = listed.find(found->second.order.run);
     ReconcileAttempt(found->second,
-                     entry == listed.end() ? nullptr : entry->second, sent_at,
+                     entry == listed.end() ? nullptr : entry->second, poll,
                      now);
   }
 }
 
 // That a run is not listed counts only if the poll was sent after the order was
-// answered, since answers on different connections can be reordered.
+// answered, since answers on different connections can be reordered. Polls are
+// compared by number: a start may be answered in the millisecond in which a
+// poll is sent, before or after it.
 void WorkerSession::ReconcileAttempt(Attempt& attempt, const ListedRun* listed,
-                                     TimePoint sent_at, TimePoint now) {
+                                     std::uint64_t poll, TimePoint now) {
   if (attempt.state == State::kQueued) return;
   if (listed != nullptr) {
     attempt.has_run = true;
@@ -191,20 +193,21 @@
     if (attempt.state == State::kStarting || attempt.state == State::kInDoubt) {
       attempt.state = State::kRunning;
       attempt.state_since = now;
+      attempt.first_valid_poll = next_poll_number_;
     } else if (attempt.state == State::kStopping &&
                now - attempt.stop_sent_at > kStopRetryInterval) {
       SendStop(attempt, now);
     }
     return;
   }
-  const bool later = sent_at > attempt.state_since;
+  const bool later = poll >= attempt.first_valid_poll;
   if (attempt.state == State::kInDoubt && later) {
     Stop(attempt, "in doubt", now);
   } else if (attempt.state == State::kRunning && later) {
     End(attempt.order.attempt, AttemptEnd::kStopped,
         "the worker no longer lists the run", now);
-  } else if (attempt.state == State::kStopping && attempt.stop_accepted_at &&
-             sent_at > *attempt.stop_accepted_at) {
+  } else if (attempt.state == State::kStopping && attempt.stop_accepted &&
+             later) {
     End(attempt.order.attempt,
         attempt.has_run ? AttemptEnd::kStopped : AttemptEnd::kNotStarted,
         attempt.stop_reason, now);
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -359,5 +359,25 @@
   CHECK(polls == 1);
 }
 
+// The poll that follows an accepted stop counted as sent a millisecond later.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose run starts in the millisecond of a poll "
+                 "that does not list it yet counts the run") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  const TaskRun accepted = Order(kSecond, 2);
+  Tick();
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStartEnded(accepted, AcceptedOrder(), now_);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kFirst) == 1);
+  CHECK(CountSent<TaskEnd>(kSecond) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
 }  // namespace
 }  // namespace geranium
