--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -48,6 +48,8 @@
     Log(LogLevel::kInfo, "worker_registered",
         {{"worker", announcement.id.value()},
          {"service", announcement.service.value()},
+         {"cpu", std::to_string(announcement.capacity.cpu)},
+         {"memory_mb", std::to_string(announcement.capacity.memory_mb)},
          {"started", std::to_string(announcement.started_ms)}});
     BeginIncarnation(now);
   }
@@ -72,6 +74,7 @@
 // fences off such an order once a poll with the new token is answered.
 void WorkerSession::BeginIncarnation(TimePoint now) {
   settled_ = false;
+  ++state_version_;
   acknowledged_end_ = 0;
   unknown_runs_.clear();
   run_statistics_ = RunStatistics();
@@ -81,6 +84,7 @@
   for (auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kRunning || attempt.state == State::kStarting) {
       attempt.state_since = now;
+      attempt.first_valid_poll = next_poll_number_;
     }
   }
   next_poll_ = now;
@@ -116,7 +120,7 @@
   StopRunsOfSilentEntries(now);
   ExpireQueued(now);
   for (auto& [id, attempt] : attempts_) {
-    if (attempt.state == State::kStopping && !attempt.stop_accepted_at &&
+    if (attempt.state == State::kStopping && !attempt.stop_accepted &&
         now - attempt.stop_sent_at > kStopRetryInterval) {
       SendStop(attempt, now);
     }
@@ -140,7 +144,7 @@
     if (attempt.state == State::kQueued) {
       next = std::min(next, attempt.state_since + attempt.order.max_wait);
     } else if (attempt.state == State::kStopping) {
-      if (attempt.stop_accepted_at) continue;  // A poll shows its end.
+      if (attempt.stop_accepted) continue;  // A poll shows its end.
       next = std::min(next, attempt.stop_sent_at + kStopRetryInterval);
       continue;
     }
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -131,7 +131,11 @@
     int percent = 0;
     bool has_run = false;
     bool speed_recorded = false;  ///< Its speed has been recorded.
-    std::optional<TimePoint> stop_accepted_at;
+    /// Only polls from this number on were sent after the answer to its start,
+    /// or to its stop once that is accepted; what earlier ones list or leave
+    /// out says nothing.
+    std::uint64_t first_valid_poll = 0;
+    bool stop_accepted = false;
     TimePoint stop_sent_at = TimePoint::Never();
     std::string stop_reason;
   };
@@ -175,14 +179,15 @@
            TimePoint now);
   void SendTaskEnd(Incarnation entry, const TaskEnd& end);
   void HandleEndedRuns(const PollOutcome& outcome, TimePoint now);
-  void ReconcileAttempts(const PollOutcome& outcome, TimePoint sent_at,
+  void ReconcileAttempts(const PollOutcome& outcome, std::uint64_t poll,
                          TimePoint now);
   void ReconcileAttempt(Attempt& attempt, const ListedRun* listed,
-                        TimePoint sent_at, TimePoint now);
+                        std::uint64_t poll, TimePoint now);
   void StopUnknownRuns(const PollOutcome& outcome, TimePoint now);
   void UpdateIncarnation(std::uint64_t started_ms, TimePoint now);
   void BeginIncarnation(TimePoint now);
   void RaiseFencingToken();
+  bool HasStartedAttempts() const;
   void PollIfDue(TimePoint now);
   void SendImmediatePoll(TimePoint now);
   void SendPoll(PollRuns poll, TimePoint now);
@@ -208,6 +213,8 @@
   WorkerReport Report(const Peer& peer, TimePoint now) const;
   std::uint32_t CountEntries() const;
   bool HasCapacity(const Resources& size) const;
+  /// False after a poll has shown a restart, until the worker's announcement.
+  bool IsAnnouncementCurrent() const;
   std::int64_t LeaseUntil(TimePoint now) const;
   bool IsAlive(const Entry& entry, TimePoint now) const;
   Attempt* FindByRun(const TaskRun& run);
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -16,9 +16,15 @@
   return entry.linked && now - entry.last_alive_at <= kEntryTimeout;
 }
 
+bool WorkerSession::IsAnnouncementCurrent() const {
+  return worker_->started_ms == 0 || worker_->started_ms == started_ms_;
+}
+
+// A new incarnation may have another capacity, kind and rack than the last one.
 bool WorkerSession::IsAccepting(TimePoint now) const {
-  return worker_ && settled_ && !worker_left_ && !leaving_ &&
-         !worker_->draining && now - last_answer_at_ < kWorkerTimeout;
+  return worker_ && IsAnnouncementCurrent() && settled_ && !worker_left_ &&
+         !leaving_ && !worker_->draining &&
+         now - last_answer_at_ < kWorkerTimeout;
 }
 
 bool WorkerSession::HasCapacity(const Resources& size) const {
@@ -120,6 +126,7 @@
     case OrderReply::kAccepted:
       attempt->state = State::kRunning;
       attempt->state_since = now;
+      attempt->first_valid_poll = next_poll_number_;
       attempt->has_run = true;
       break;
     case OrderReply::kNoAnswer:
@@ -192,9 +199,10 @@
   Attempt* attempt = FindByRun(run);
   if (attempt == nullptr || attempt->state != State::kStopping) return;
   if (outcome.reply == OrderReply::kAccepted) {
-    if (attempt->stop_accepted_at) return;
-    attempt->stop_accepted_at = now;
-    if (!attempt->has_run) SendImmediatePoll(now + Duration(1));
+    if (attempt->stop_accepted) return;
+    attempt->stop_accepted = true;
+    attempt->first_valid_poll = next_poll_number_;
+    if (!attempt->has_run) SendImmediatePoll(now);
   }
 }
 
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -40,10 +40,18 @@
 
 }  // namespace
 
+bool WorkerSession::HasStartedAttempts() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [](const auto& item) {
+    return item.second.state != State::kQueued;
+  });
+}
+
 void WorkerSession::PollIfDue(TimePoint now) {
   if (!worker_ || long_poll_ != 0 || now < next_poll_) return;
   PollRuns poll;
-  if (now - last_answer_at_ < kWorkerTimeout) {
+  // Runs of an earlier agent must end in time though nobody stops them yet.
+  const bool may_renew = settled_ || HasStartedAttempts();
+  if (may_renew && now - last_answer_at_ < kWorkerTimeout) {
     poll.lease_until_ms = LeaseUntil(now);
     lease_end_ = std::max(lease_end_, now + kLeaseDuration);
   }
@@ -112,7 +120,7 @@
   if (poll.fencing_token != fencing_token_)
     return;  // Sent with an earlier token.
   HandleEndedRuns(outcome, now);
-  ReconcileAttempts(outcome, poll.sent, now);
+  ReconcileAttempts(outcome, number, now);
   StopUnknownRuns(outcome, now);
   MeasureAndStopSlowRuns(now);
   StopStalled(now);
@@ -154,7 +162,7 @@
 }
 
 void WorkerSession::ReconcileAttempts(const PollOutcome& outcome,
-                                      TimePoint sent_at, TimePoint now) {
+                                      std::uint64_t poll, TimePoint now) {
   std::map<TaskRun, const ListedRun*> listed;
   for (const ListedRun& run : outcome.running) listed[run.run] = &run;
   std::vector<AttemptId> ids;
@@ -164,15 +172,17 @@
     if (found == attempts_.end()) continue;
     const auto entry = listed.find(found->second.order.run);
     ReconcileAttempt(found->second,
-                     entry == listed.end() ? nullptr : entry->second, sent_at,
+                     entry == listed.end() ? nullptr : entry->second, poll,
                      now);
   }
 }
 
 // That a run is not listed counts only if the poll was sent after the order was
-// answered, since answers on different connections can be reordered.
+// answered, since answers on different connections can be reordered. Polls are
+// compared by number: a start may be answered in the millisecond in which a
+// poll is sent, before or after it.
 void WorkerSession::ReconcileAttempt(Attempt& attempt, const ListedRun* listed,
-                                     TimePoint sent_at, TimePoint now) {
+                                     std::uint64_t poll, TimePoint now) {
   if (attempt.state == State::kQueued) return;
   if (listed != nullptr) {
     attempt.has_run = true;
@@ -183,20 +193,21 @@
     if (attempt.state == State::kStarting || attempt.state == State::kInDoubt) {
       attempt.state = State::kRunning;
       attempt.state_since = now;
+      attempt.first_valid_poll = next_poll_number_;
     } else if (attempt.state == State::kStopping &&
                now - attempt.stop_sent_at > kStopRetryInterval) {
       SendStop(attempt, now);
     }
     return;
   }
-  const bool later = sent_at > attempt.state_since;
+  const bool later = poll >= attempt.first_valid_poll;
   if (attempt.state == State::kInDoubt && later) {
     Stop(attempt, "in doubt", now);
   } else if (attempt.state == State::kRunning && later) {
     End(attempt.order.attempt, AttemptEnd::kStopped,
         "the worker no longer lists the run", now);
-  } else if (attempt.state == State::kStopping && attempt.stop_accepted_at &&
-             sent_at > *attempt.stop_accepted_at) {
+  } else if (attempt.state == State::kStopping && attempt.stop_accepted &&
+             later) {
     End(attempt.order.attempt,
         attempt.has_run ? AttemptEnd::kStopped : AttemptEnd::kNotStarted,
         attempt.stop_reason, now);
@@ -244,12 +255,14 @@
       kLeaseDuration * kClockDriftPercent / 100 + kLeaseMargin;
   if (now < lease_end_ + slack) return;
   // All leases have expired. A run that is listed later all the same is stopped
-  // as unknown before anything else starts.
+  // as unknown before anything else starts, and a start that was not answered
+  // is fenced off by the next poll.
   settled_ = false;
   std::vector<AttemptId> ids;
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.state != State::kQueued) ids.push_back(id);
   }
+  if (!ids.empty()) ++fencing_token_;
   for (const AttemptId& id : ids) {
     End(id, AttemptEnd::kStopped, "the worker does not respond", now);
   }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -100,6 +100,15 @@
     return order.run;
   }
 
+  const StartRun& LastStart() const {
+    const StartRun* last = nullptr;
+    for (const SessionAction& action : actions_) {
+      if (const auto* start = std::get_if<StartRun>(&action)) last = start;
+    }
+    REQUIRE(last != nullptr);
+    return *last;
+  }
+
   template <class Action>
   int CountActions() const {
     return static_cast<int>(std::count_if(
@@ -286,5 +295,89 @@
   CHECK_FALSE(session_.IsAccepting(now_));
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker has restarted starts nothing "
+                 "before the new incarnation has announced its capacity") {
+  Advance(Duration(50));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  for (int i = 0; i < 2; ++i) {  // The first shows the restart.
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  }
+  SendHeartbeats();
+  CHECK_FALSE(session_.IsAccepting(now_));
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{16, 1024, 0};
+  announcement.started_ms = 2;
+  session_.OnAnnouncement(announcement, now_);
+  CHECK(session_.IsAccepting(now_));
+  for (std::uint64_t i = 1; i <= kFullWorker; ++i) Order(kFirst, i);
+  Tick();
+  CHECK(CountActions<StartRun>() == kFullWorker / 2);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that gave up a start in doubt with its silent "
+                 "worker's lease fences it off before it starts anything") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  const std::uint64_t token = LastStart().fencing_token;
+  session_.OnStartEnded(run, OrderOutcome{}, now_);
+  const TimePoint end = now_ + WorkerSession::kLeaseDuration * 2;
+  while (now_ < end) {
+    Advance(Duration(50));
+    SendHeartbeats();
+    session_.OnPollEnded(polls_.back().number, PollOutcome{}, now_);
+  }
+  REQUIRE(CountSent<TaskEnd>(kFirst) == 1);
+  Advance(Duration(50));
+  CHECK(polls_.back().fencing_token > token);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that does not know yet what runs at its worker "
+                 "renews no lease") {
+  WorkerSession restarted(Options());
+  WorkerAnnouncement worker;
+  worker.id = WorkerId("w");
+  worker.service = ServiceName("s");
+  worker.capacity = Resources{32, 1024, 0};
+  worker.started_ms = 1;
+  restarted.OnAnnouncement(worker, now_);
+  restarted.OnTick(now_);
+  int polls = 0;
+  for (const SessionAction& action : restarted.TakeActions()) {
+    const auto* poll = std::get_if<PollRuns>(&action);
+    if (poll == nullptr) continue;
+    ++polls;
+    CHECK_FALSE(poll->lease_until_ms.has_value());
+  }
+  CHECK(polls == 1);
+}
+
+// The poll that follows an accepted stop counted as sent a millisecond later.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose run starts in the millisecond of a poll "
+                 "that does not list it yet counts the run") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  const TaskRun accepted = Order(kSecond, 2);
+  Tick();
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStartEnded(accepted, AcceptedOrder(), now_);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kFirst) == 1);
+  CHECK(CountSent<TaskEnd>(kSecond) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
 }  // namespace
 }  // namespace geranium
