Abandon the jobs of an entry that stood still for a second

What callers saw: a task of their job ran twice at the same time. Found in the model, not seen on a deployment. Cause: an entry that is not heard from for 1500 ms loses its jobs: their callers send them to another entry, which then starts them. The first entry, running again, counted its workers as lost and ordered the tasks of these jobs once more before it learnt that their callers had gone. Change: an entry that finds that it did nothing for a second (1500 ms less two heartbeats to its peers) answers its open jobs with "may have run" and starts nothing of them. The unit test failed before (2 starts, no answer) and passes; with a standstill of 500 ms all jobs are kept.

--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -40,6 +40,7 @@
 
 void StepEntryNode::OnSubmission(CallerHandle caller, StepSubmission submission,
                                  TimePoint now) {
+  AbandonJobsAfterStandstill(now);
   const StepJobId id = submission.job.id;
   const auto refuse = [&](StepAnswer answer, const std::string& reason) {
     Log(LogLevel::kInfo, "job_refused",
@@ -89,6 +90,18 @@
   CollectActions(now);
 }
 
+// Agents have stopped the runs of these jobs. Their callers may have sent them
+// to another entry, and entries that ask this one wait no longer than that.
+void StepEntryNode::AbandonJobsAfterStandstill(TimePoint now) {
+  const TimePoint last_active = std::exchange(last_active_, now);
+  if (last_active == TimePoint::Never()) return;
+  if (now - last_active < kMaxStandstill) return;
+  const std::size_t abandoned = scheduler_.AbandonOpenJobs(now);
+  Log(LogLevel::kWarning, "stood_still",
+      {{"standstill_ms", std::to_string((now - last_active).ms())},
+       {"abandoned_jobs", std::to_string(abandoned)}});
+}
+
 bool StepEntryNode::CancelJob(const StepJobId& job, TimePoint now) {
   const bool known = scheduler_.Cancel(job, now);
   CollectActions(now);
@@ -134,6 +147,7 @@
 
 void StepEntryNode::OnMessage(LinkId link, const Message& message,
                               TimePoint now) {
+  AbandonJobsAfterStandstill(now);
   const auto peer = peers_.find(link);
   if (peer == peers_.end()) return;
   peer->second.last_heard = now;
@@ -263,6 +277,7 @@
 // ---- time
 
 void StepEntryNode::OnTick(TimePoint now) {
+  AbandonJobsAfterStandstill(now);
   if (!first_tick_) first_tick_ = now;
   scheduler_.SetDiscovering(now - *first_tick_ < kWorkerDiscoveryTime);
   CheckHandovers(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -50,6 +50,10 @@
   static constexpr Duration kLinkTimeout{800};
   /// How long a job that was announced, or answered here, is remembered.
   static constexpr Duration kKnownJobRetention{10'000};
+  /// After a standstill of this long others may not have heard from this entry
+  /// for `kWorkerLostTimeout`, and have taken its jobs over.
+  static constexpr Duration kMaxStandstill =
+      StepScheduler::kWorkerLostTimeout - kPeerHeartbeatInterval * 2;
 
   explicit StepEntryNode(StepEntryOptions options);
 
@@ -144,6 +148,7 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
+  void AbandonJobsAfterStandstill(TimePoint now);
   bool RequestHandover(const StepJobId& job, TimePoint now);
   void CheckHandovers(TimePoint now);
   void EndHandover(const StepJobId& job, TimePoint now);
@@ -182,6 +187,7 @@
   TimePoint next_peer_heartbeat_;
   std::optional<TimePoint> leave_deadline_;
   std::optional<TimePoint> first_tick_;
+  TimePoint last_active_ = TimePoint::Never();  ///< Last tick or message.
   std::vector<StepAction> actions_;
 };
 
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -272,6 +272,18 @@
   EraseIfDone(number);
 }
 
+std::size_t StepScheduler::AbandonOpenJobs(TimePoint now) {
+  std::vector<JobNumber> open;
+  for (const auto& [caller, number] : by_caller_) open.push_back(number);
+  for (const JobNumber number : open) {
+    Answer(jobs_.at(number), StepAnswer::kAbandoned, Duration(0),
+           "the entry stood still and another may have taken the job over",
+           now);
+    EraseIfDone(number);
+  }
+  return open.size();
+}
+
 // ---- placing
 
 void StepScheduler::OnTick(TimePoint now) {
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -88,6 +88,8 @@
   /// `TakeRelinquished` returns it once no attempt of any of them is open.
   void Relinquish(const StepJobId& id, TimePoint now);
   std::vector<StepJobId> TakeRelinquished();
+  /// Abandons all unanswered jobs; returns their number.
+  std::size_t AbandonOpenJobs(TimePoint now);
   /// Jobs answered since the last call of which a task may have run.
   std::vector<StepJobId> TakeEnded();
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -64,9 +64,13 @@
     card.capacity = Resources{32, 1024, 0};
     card.previous_runs_ended = true;
     Receive(kAgent, card);
+    ReportFreeWorker();
+  }
+
+  void ReportFreeWorker() {
     WorkerReport report;
     report.accepting = true;
-    report.free = card.capacity;
+    report.free = Resources{32, 1024, 0};
     Receive(kAgent, report);
   }
 
@@ -273,5 +277,27 @@
   CHECK(Sent<StartTask>(kAgent).size() == 1);
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode that stood still for so long that another "
+                 "entry may have taken its job over starts no task of it") {
+  const bool tick_comes_first = GENERATE(true, false);
+  Submit(1);
+  now_ = now_ + StepScheduler::kWorkerLostTimeout;
+  if (tick_comes_first) Advance(Duration(1));
+  ReportFreeWorker();
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+  Advance(Duration(10));
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode that stood still for a short while keeps its "
+                 "jobs") {
+  Submit(1);
+  now_ = now_ + Duration(500);
+  ReportFreeWorker();
+  CHECK_FALSE(AnswerTo(1).has_value());
+}
+
 }  // namespace
 }  // namespace geranium
