Add a failing test of a job sent to an entry that stood still

Cause: not changed yet. After a standstill of 1500 ms an entry takes all others for lost, though their heartbeats wait unread, and starts a job that another entry has without asking for it. Change: tests only.

--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -299,5 +299,20 @@
   CHECK_FALSE(AnswerTo(1).has_value());
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job after it stood still asks the entry "
+                 "that has the job, whose heartbeats it has not read yet") {
+  Receive(kSecond, JobsAccepted{{job_}});
+  now_ = now_ + StepScheduler::kWorkerLostTimeout + Duration(1);
+  const bool tick_comes_first = GENERATE(true, false);
+  if (tick_comes_first) Advance(Duration(1));
+  Submit(1);
+  Receive(kSecond,
+          Heartbeat{now_, now_, Version(1), std::nullopt, std::nullopt});
+  ReportFreeWorker();
+  CHECK(Sent<JobHandoverRequest>(kSecond).size() == 1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+}
+
 }  // namespace
 }  // namespace geranium
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -379,5 +379,49 @@
   CHECK(session_.in_use().cpu == 8);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession resumed after a pause by the answer to a poll "
+                 "starts none of the orders that were queued before") {
+  std::vector<TaskRun> runs;
+  for (std::uint64_t i = 1; i <= kFullWorker + 1; ++i) {
+    runs.push_back(Order(kFirst, i));
+  }
+  Tick();
+  for (int i = 0; i < kFullWorker; ++i) {
+    session_.OnStartEnded(runs[i], AcceptedOrder(), now_);
+  }
+  Advance(Duration(5));
+  actions_.clear();
+  now_ = now_ + kPause;
+  PollOutcome outcome;
+  outcome.ended.push_back({1, runs[0], RunEnd::kDone});
+  AnswerPoll(outcome);
+  CHECK(CountActions<StartRun>() == 0);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker restarts after it has left takes "
+                 "orders though a poll shows the restart first") {
+  session_.OnWorkerLeft(WorkerId("w"), now_);
+  Advance(Duration(50));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  const auto answer_poll = [&] {
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  };
+  answer_poll();
+  answer_poll();
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  session_.OnAnnouncement(announcement, now_);
+  answer_poll();
+  CHECK(session_.IsAccepting(now_));
+}
+
 }  // namespace
 }  // namespace geranium
