Add failing tests of late answers to an earlier handover

Cause: not changed yet. An answer to a request for a job is taken for any handover of the job that is open then, also for the wait for the entry's own runs. Change: tests only. Measured: both fail: 2 starts where 1 is expected.

--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -314,5 +314,30 @@
   CHECK(Sent<StartTask>(kAgent).empty());
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job again ignores a second answer to an "
+                 "earlier handover while its own run is being stopped") {
+  Receive(kSecond, JobsAccepted{{job_}});
+  Submit(1);
+  Receive(kSecond, JobHandedOver{job_});
+  REQUIRE(Sent<StartTask>(kAgent).size() == 1);
+  Submit(2);
+  Receive(kSecond, JobHandedOver{job_});
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job again and told late that it has "
+                 "moved starts it only after its own run") {
+  Receive(kSecond, JobsAccepted{{job_}});
+  Submit(1);
+  Receive(kSecond, JobHandedOver{job_});
+  REQUIRE(Sent<StartTask>(kAgent).size() == 1);
+  Submit(2);
+  Receive(kSecond, JobMoved{job_, IncarnationAt(kThird)});
+  Receive(kThird, JobHandedOver{job_});
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
