Add a failing test of a job that two entries announced

Cause: not changed yet. An entry remembers only the last entry that announced a job, and asks no other when that one is lost. Change: tests only. Measured: fails: 0 requests to the first entry, and a task starts.

--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -339,5 +339,22 @@
   CHECK(Sent<StartTask>(kAgent).size() == 1);
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode sent a job that two others announced asks the "
+                 "first of them when the second is lost") {
+  Receive(kSecond, JobsAccepted{{job_}});
+  Receive(kThird, JobsAccepted{{job_}});
+  Submit(1);
+  const TimePoint end = now_ + StepScheduler::kWorkerLostTimeout * 2;
+  while (now_ < end) {
+    Receive(kSecond,
+            Heartbeat{now_, now_, Version(1), std::nullopt, std::nullopt});
+    ReportFreeWorker();
+    Advance(Duration(50));
+  }
+  CHECK(Sent<JobHandoverRequest>(kSecond).size() >= 1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+}
+
 }  // namespace
 }  // namespace geranium
