Add a failing test of a worker that left and started again

Cause: not changed yet. A restart that a poll shows before the announcement does not end the state of having left. Change: tests only. Measured: fails: the agent takes no orders.

--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -399,5 +399,29 @@
   CHECK(CountActions<StartRun>() == 0);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker restarts after it has left takes "
+                 "orders though a poll shows the restart first") {
+  session_.OnWorkerLeft(WorkerId("w"), now_);
+  Advance(Duration(50));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  const auto answer_poll = [&] {
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  };
+  answer_poll();
+  answer_poll();
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  session_.OnAnnouncement(announcement, now_);
+  answer_poll();
+  CHECK(session_.IsAccepting(now_));
+}
+
 }  // namespace
 }  // namespace geranium
