Add a failing test of a late card of a replaced agent

Cause: not changed yet. A card counts as that of the newer agent of a worker whichever link it comes over: one that a dead agent sent, and that arrives after its successor's, ends the successor's runs at the entry. Change: tests only; the fixture links agents by link.

--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -26,7 +26,7 @@
     node_.OnRouteTable(table, "operator", now_);
     LinkEntry(kSecond);
     LinkEntry(kThird);
-    LinkAgent();
+    LinkAgent(kAgent);
     (void)node_.TakeActions();
   }
 
@@ -52,26 +52,30 @@
     Receive(link, hello);
   }
 
-  void LinkAgent() {
-    node_.OnLinkUp(kAgent, now_);
-    Hello hello;
-    hello.role = ProcessRole::kAgent;
-    hello.incarnation = IncarnationAt(kAgent);
-    Receive(kAgent, hello);
+  static WorkerCard Card() {
     WorkerCard card;
     card.id = WorkerId("w");
     card.service = ServiceName("s");
     card.capacity = Resources{32, 1024, 0};
     card.previous_runs_ended = true;
-    Receive(kAgent, card);
-    ReportFreeWorker();
+    return card;
+  }
+
+  void LinkAgent(LinkId link) {
+    node_.OnLinkUp(link, now_);
+    Hello hello;
+    hello.role = ProcessRole::kAgent;
+    hello.incarnation = IncarnationAt(link);
+    Receive(link, hello);
+    Receive(link, Card());
+    ReportFreeWorker(link);
   }
 
-  void ReportFreeWorker() {
+  void ReportFreeWorker(LinkId link = kAgent) {
     WorkerReport report;
     report.accepting = true;
     report.free = Resources{32, 1024, 0};
-    Receive(kAgent, report);
+    Receive(link, report);
   }
 
   template <class M>
@@ -356,5 +360,17 @@
   CHECK(Sent<StartTask>(kAgent).empty());
 }
 
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode that gets a late card of a replaced agent goes "
+                 "on with the run at its successor") {
+  const LinkId successor{11};
+  Receive(kAgent, WorkerReport{});
+  LinkAgent(successor);
+  Submit(1);
+  REQUIRE(Sent<StartTask>(successor).size() == 1);
+  Receive(kAgent, Card());
+  CHECK(Sent<StartTask>(successor).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
