--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -423,5 +423,23 @@
   CHECK(session_.IsAccepting(now_));
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession with a start in doubt whose stop is accepted "
+                 "ends it by a poll sent after that and by no earlier one") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t later_poll = polls_.back().number;
+  REQUIRE(later_poll != early_poll);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  CHECK(session_.in_use().cpu == 8);
+  session_.OnPollEnded(later_poll, AcceptedPoll(), now_);
+  CHECK(session_.in_use().cpu == 0);
+}
+
 }  // namespace
 }  // namespace geranium
