--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -441,5 +441,27 @@
   CHECK(session_.in_use().cpu == 0);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose unanswered start a poll has shown to run "
+                 "counts it though an earlier poll does not list it") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  const TaskRun starting = Order(kSecond, 2);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t later_poll = polls_.back().number;
+  REQUIRE(later_poll != early_poll);
+  PollOutcome later = AcceptedPoll();
+  later.running.push_back({starting, 1});
+  session_.OnPollEnded(later_poll, later, now_);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kSecond) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
 }  // namespace
 }  // namespace geranium
