--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -379,5 +379,89 @@
   CHECK(session_.in_use().cpu == 8);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession resumed after a pause by the answer to a poll "
+                 "starts none of the orders that were queued before") {
+  std::vector<TaskRun> runs;
+  for (std::uint64_t i = 1; i <= kFullWorker + 1; ++i) {
+    runs.push_back(Order(kFirst, i));
+  }
+  Tick();
+  for (int i = 0; i < kFullWorker; ++i) {
+    session_.OnStartEnded(runs[i], AcceptedOrder(), now_);
+  }
+  Advance(Duration(5));
+  actions_.clear();
+  now_ = now_ + kPause;
+  PollOutcome outcome;
+  outcome.ended.push_back({1, runs[0], RunEnd::kDone});
+  AnswerPoll(outcome);
+  CHECK(CountActions<StartRun>() == 0);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker restarts after it has left takes "
+                 "orders though a poll shows the restart first") {
+  session_.OnWorkerLeft(WorkerId("w"), now_);
+  Advance(Duration(50));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  const auto answer_poll = [&] {
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  };
+  answer_poll();
+  answer_poll();
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  session_.OnAnnouncement(announcement, now_);
+  answer_poll();
+  CHECK(session_.IsAccepting(now_));
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession with a start in doubt whose stop is accepted "
+                 "ends it by a poll sent after that and by no earlier one") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t later_poll = polls_.back().number;
+  REQUIRE(later_poll != early_poll);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  CHECK(session_.in_use().cpu == 8);
+  session_.OnPollEnded(later_poll, AcceptedPoll(), now_);
+  CHECK(session_.in_use().cpu == 0);
+}
+
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose unanswered start a poll has shown to run "
+                 "counts it though an earlier poll does not list it") {
+  const TaskRun in_doubt = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  const TaskRun starting = Order(kSecond, 2);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  const std::uint64_t later_poll = polls_.back().number;
+  REQUIRE(later_poll != early_poll);
+  PollOutcome later = AcceptedPoll();
+  later.running.push_back({starting, 1});
+  session_.OnPollEnded(later_poll, later, now_);
+  session_.OnPollEnded(early_poll, AcceptedPoll(), now_);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kSecond) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
 }  // namespace
 }  // namespace geranium
