Model split entries, silent workers, restarts with another capacity and repeated resets in StepSimulator

Links deliver in order and each end closes on its own, so that one end can have redialled before the other notices; traffic can be blocked one way. Workers may take time to stop, answer late, lose calls both ways or only their answers, carry out calls and polls seconds late, come back with another capacity before they announce it. Callers may send a lost job to any entry. A start is accepted while a newer poll's lease lasts.

--- a/standins/sized_worker.cc
+++ b/standins/sized_worker.cc
@@ -26,7 +26,8 @@
     outcome.reply = OrderReply::kOtherIncarnation;
   } else if (order.fencing_token < fencing_token_) {
     outcome.reply = OrderReply::kFenced;
-  } else if (order.lease_until_ms <= ClockMs(now)) {
+  } else if (std::max(order.lease_until_ms, lease_until_ms_) <= ClockMs(now)) {
+    // A lease applies to all runs, so that of a newer poll covers a late start.
     outcome.reply = OrderReply::kExpired;
   } else if (const auto ended = highest_ended_run_.find(order.run.task);
              ended != highest_ended_run_.end() &&
@@ -34,15 +35,13 @@
     outcome.reply = OrderReply::kSuperseded;
   } else {
     outcome.reply = OrderReply::kAccepted;
-    running_.try_emplace(order.run,
-                         Running{find_behaviour_(order.run.task), 0});
+    running_.try_emplace(
+        order.run, Running{find_behaviour_(order.run.task), 0, std::nullopt});
   }
   if (outcome.reply != OrderReply::kOtherIncarnation &&
       outcome.reply != OrderReply::kFenced) {
     fencing_token_ = std::max(fencing_token_, order.fencing_token);
-    lease_until_ms_ =
-        std::max(lease_until_ms_,
-                 std::min(order.lease_until_ms, ClockMs(now) + kMaxLeaseMs));
+    ExtendLease(order.lease_until_ms, now);
   }
   return outcome;
 }
@@ -61,7 +60,14 @@
   }
   fencing_token_ = order.fencing_token;
   outcome.reply = OrderReply::kAccepted;
-  if (running_.contains(order.run)) EndRun(order.run, RunEnd::kStopped);
+  const auto running = running_.find(order.run);
+  if (running != running_.end()) {
+    if (faults_.stop_time == Duration(0)) {
+      EndRun(order.run, RunEnd::kStopped);
+    } else if (!running->second.stop_at) {
+      running->second.stop_at = now + faults_.stop_time;
+    }
+  }
   std::uint64_t& highest = highest_ended_run_[order.run.task];
   highest = std::max(highest, order.run.run);
   return outcome;
@@ -71,10 +77,12 @@
   Advance(now);
   if (order.worker != self_.id || order.fencing_token < fencing_token_) return;
   fencing_token_ = order.fencing_token;
-  if (!order.lease_until_ms) return;
+  if (order.lease_until_ms) ExtendLease(*order.lease_until_ms, now);
+}
+
+void SizedWorker::ExtendLease(std::int64_t until_ms, TimePoint now) {
   lease_until_ms_ =
-      std::max(lease_until_ms_,
-               std::min(*order.lease_until_ms, ClockMs(now) + kMaxLeaseMs));
+      std::max(lease_until_ms_, std::min(until_ms, ClockMs(now) + kMaxLeaseMs));
 }
 
 PollOutcome SizedWorker::Poll(const PollRuns& order, TimePoint now) {
@@ -125,6 +133,10 @@
       ends.emplace_back(run, RunEnd::kFailed);
       continue;
     }
+    if (state.stop_at && now >= *state.stop_at) {
+      ends.emplace_back(run, RunEnd::kStopped);
+      continue;
+    }
     if (faults_.hangs) continue;
     const double rack_factor = IsLocal(state.task.rack) ? 1 : kOtherRackFactor;
     state.done_ms += elapsed_ms / faults_.slowdown / rack_factor;
@@ -136,7 +148,8 @@
   for (const TaskRun& run : running()) EndRun(run, RunEnd::kStopped);
 }
 
-void SizedWorker::Restart(TimePoint now) {
+void SizedWorker::Restart(TimePoint now, std::optional<Resources> capacity) {
+  if (capacity) self_.capacity = *capacity;
   running_.clear();
   highest_ended_run_.clear();
   ended_.clear();
--- a/standins/sized_worker.h
+++ b/standins/sized_worker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
   bool hangs = false;
   bool silent = false;  ///< Receives and answers no calls; tasks keep running.
   double unanswered = 0;  ///< Share of orders executed late, without answer.
+  Duration stop_time;     ///< From a stop until the run has ended.
+  Duration answer_delay;  ///< Longest extra delay of an answer to an order.
+  double late_announcements = 0;  ///< Share that arrives seconds late.
 };
 
 /// Model of a backend server that runs sized tasks under a lease and starts
@@ -51,7 +55,7 @@
   bool HasUnacknowledgedEnd(std::uint64_t acknowledged) const;
   void Advance(TimePoint now);
   /// Starts a new incarnation without the runs and tokens of the previous one.
-  void Restart(TimePoint now);
+  void Restart(TimePoint now, std::optional<Resources> capacity = {});
 
   WorkerAnnouncement Announce(TimePoint now);
   WorkerFaults& faults() { return faults_; }
@@ -64,6 +68,7 @@
   struct Running {
     TaskBehaviour task;
     double done_ms = 0;
+    std::optional<TimePoint> stop_at;
   };
 
   void EndRun(const TaskRun& run, RunEnd end);
@@ -71,6 +76,7 @@
     return now.ms() - started_at_.ms();
   }
   bool IsLocal(const std::string& rack) const;
+  void ExtendLease(std::int64_t until_ms, TimePoint now);
 
   WorkerAnnouncement self_;
   FindBehaviour find_behaviour_;
--- a/standins/step_simulator.cc
+++ b/standins/step_simulator.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxLogLines = 400;
 /// Separates the random numbers of calls from those of the load.
 constexpr std::uint64_t kCallSeedOffset = 1'000'003;
+constexpr std::uint64_t kCallerSeedOffset = 2'000'003;
 constexpr Duration kTick{10};
 constexpr Duration kAnnounceInterval{1500};
 
@@ -56,7 +57,8 @@
 StepSimulator::StepSimulator(StepSimulatorOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
-      call_random_(options_.seed + kCallSeedOffset) {
+      call_random_(options_.seed + kCallSeedOffset),
+      caller_random_(options_.seed + kCallerSeedOffset) {
   for (const LoadClass& kind : options_.load) {
     (void)kind;
     next_arrival_.push_back(now_ + Duration(600));
@@ -167,32 +169,40 @@
   Job& job = *jobs_[static_cast<std::size_t>(number)];
   const std::uint64_t attempt = ++job.attempt;
   job.entry = index;
-  At(now_ + options_.caller_delay, [this, number, index, attempt] {
-    Job& sent = *jobs_[static_cast<std::size_t>(number)];
-    if (sent.attempt != attempt || sent.caller_left) return;
-    Entry& entry = *entries_[static_cast<std::size_t>(index)];
-    if (!entry.alive) {
-      At(now_ + options_.resend_delay, [this, number, index] {
-        SendJob(number, (index + 1) % options_.entries);
-      });
-      return;
-    }
-    if (now_ < entry.frozen_until) {
-      sent.attempt = attempt - 1;
-      At(entry.frozen_until, [this, number, index] { SendJob(number, index); });
-      return;
-    }
-    const CallerHandle caller(static_cast<std::uint64_t>(number) * 1000 +
-                              attempt);
-    entry.callers[caller] = number;
-    StepSubmission submission;
-    submission.host = kHost;
-    submission.path = "/" + sent.kind.name + "/" + sent.spec.id.value();
-    submission.job = sent.spec;
-    submission.caller_timeout = options_.caller_timeout;
-    entry.node->OnSubmission(caller, std::move(submission), now_);
-    RunEntryActions(index);
-  });
+  At(now_ + options_.caller_delay,
+     [this, number, index, attempt] { DeliverJob(number, index, attempt); });
+}
+
+void StepSimulator::DeliverJob(int number, int index, std::uint64_t attempt) {
+  Job& job = *jobs_[static_cast<std::size_t>(number)];
+  if (job.attempt != attempt || job.caller_left) return;
+  Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  if (!entry.alive) {
+    At(now_ + options_.resend_delay,
+       [this, number, index] { SendJob(number, NextEntry(index)); });
+    return;
+  }
+  if (now_ < entry.frozen_until) {
+    At(entry.frozen_until,
+       [this, number, index, attempt] { DeliverJob(number, index, attempt); });
+    return;
+  }
+  const CallerHandle caller(
+      static_cast<std::uint64_t>(number) * kMaxSubmissions + attempt);
+  entry.callers[caller] = number;
+  StepSubmission submission;
+  submission.host = kHost;
+  submission.path = "/" + job.kind.name + "/" + job.spec.id.value();
+  submission.job = job.spec;
+  submission.caller_timeout = options_.caller_timeout;
+  entry.node->OnSubmission(caller, std::move(submission), now_);
+  RunEntryActions(index);
+}
+
+int StepSimulator::NextEntry(int entry) {
+  if (!options_.resend_anywhere) return (entry + 1) % options_.entries;
+  return static_cast<int>(
+      caller_random_.Below(static_cast<std::size_t>(options_.entries)));
 }
 
 void StepSimulator::Resubmit(int job, int entry) {
@@ -211,12 +221,11 @@
   entry.callers.erase(found);
   Job& job = *jobs_[static_cast<std::size_t>(number)];
   // Answers a submission that the caller has abandoned.
-  if (job.entry != index || job.answer || job.caller_left) return;
+  if (!job.IsCurrent(answer.caller) || job.answer || job.caller_left) return;
   if (answer.answer == StepAnswer::kAbandoned) {
     job.connection_lost = true;
-    At(now_ + options_.resend_delay, [this, number, index] {
-      SendJob(number, (index + 1) % options_.entries);
-    });
+    At(now_ + options_.resend_delay,
+       [this, number, index] { SendJob(number, NextEntry(index)); });
     return;
   }
   job.answer = answer.answer;
@@ -316,7 +325,7 @@
     agent.next_tick = now_ + kTick;
     if (agent.worker_alive && now_ >= agent.next_announcement) {
       agent.next_announcement = now_ + kAnnounceInterval;
-      agent.session->OnAnnouncement(agent.worker->Announce(now_), now_);
+      Announce(static_cast<int>(i));
     }
     agent.session->OnTick(now_);
     RunAgentActions(static_cast<int>(i));
--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -52,7 +52,10 @@
   std::size_t entry_links = 4;     ///< Per agent.
   Duration caller_delay{3};
   Duration link_delay{1};
-  Duration resend_delay{1300};    ///< Until a caller sends a lost job again.
+  Duration resend_delay{1300};  ///< Until a caller sends a lost job again.
+  /// Callers send a lost job to any entry, the same one included, instead of
+  /// the next one.
+  bool resend_anywhere = false;
   Duration caller_timeout{5000};  ///< Sent with each submission.
 };
 
@@ -77,6 +80,12 @@
   }
 };
 
+/// Which calls between an agent and a silent worker are lost.
+enum class Silence {
+  kBothWays,  ///< Some orders are carried out after the silence all the same.
+  kAnswers,   ///< Calls are carried out in time.
+};
+
 /// Deterministic simulation of a site in one thread and simulated time: the
 /// real entry and worker session logic with modelled workers, links, calls,
 /// callers and faults. Checks while it runs that no task has two concurrent
@@ -96,19 +105,33 @@
   WorkerFaults& faults(int worker);
   void KillAgent(int worker, Duration down);
   void FreezeAgent(int worker, Duration span);
-  void RestartWorker(int worker, Duration down);
+  /// The new incarnation may have another capacity; its first announcement
+  /// follows `unannounced` after its start.
+  void RestartWorker(int worker, Duration down,
+                     std::optional<Resources> capacity = {},
+                     Duration unannounced = Duration(0));
+  /// Loses calls between the worker and its agent; tasks keep running.
+  void SilenceWorker(int worker, Duration span, Silence silence);
   void KillEntry(int entry, Duration down);
   void FreezeEntry(int entry, Duration span);
   /// Blocks traffic between an agent and all entries; its worker keeps running.
   void PartitionAgent(int worker, Duration span);
   /// Blocks traffic between two nodes. Agent i is node `entries` + i.
   void PartitionNodes(int one, int other, Duration span);
+  /// Blocks traffic from one node to another.
+  void BlockTraffic(int from, int to, Duration span);
+  /// Cuts the given entries from all others; agents reach all of them.
+  void SplitEntries(const std::set<int>& half, Duration span);
   /// Breaks the entry's links to other entries; they are then dialled again.
   void ResetEntryLinks(int entry);
-  /// Breaks the connections of callers to the entry; only the callers notice.
-  void DropCallers(int entry);
+  /// Breaks a share of the entry's links to agents.
+  void ResetAgentLinks(int entry, double share);
+  /// Breaks a share of the callers' connections to the entry. The callers
+  /// notice at once, the entry after `notice`, if at all.
+  void DropCallers(int entry, double share = 1,
+                   std::optional<Duration> notice = {});
   /// Resets the connections of callers to the entry; both ends notice.
-  void ResetCallers(int entry);
+  void ResetCallers(int entry) { DropCallers(entry, 1, Duration(0)); }
   void SetOutOfService(const std::string& data_centre, bool out);
   void LeaveAgent(int worker);
   /// From now on the entry admits only jobs that can finish within `grace`.
@@ -149,9 +172,19 @@
   void DialEntry(int from, int to);
   void ConnectAgent(int agent, const std::string& address);
   void DisconnectAgent(int agent, const std::string& address);
-  bool IsPartitioned(int from, int to) const;
+  bool IsBlocked(int from, int to) const;
+  bool IsPartitioned(int one, int other) const {
+    return IsBlocked(one, other) || IsBlocked(other, one);
+  }
+  std::vector<LinkId> FindLinks(
+      const std::function<bool(const LinkEnds&)>& matches) const;
+  /// Breaks a link at both ends.
   void BreakLink(LinkId link);
-  void Deliver(LinkId link, bool to_second, const Message& message);
+  /// Closes one end; the other end is told behind what was sent before.
+  void CloseEnd(LinkId link, bool first);
+  void SendOnLink(LinkId link, bool to_second, std::optional<Message> message);
+  void Deliver(LinkId link, bool to_second);
+  bool DeliverNext(LinkId link, bool to_second);
   void RunAgentActions(int index);
   void RunEntryActions(int index);
   template <class Order>
@@ -160,6 +193,13 @@
                   TimePoint until);
   void OnAnswer(int entry, const AnswerStepJob& answer);
   void SendJob(int job, int entry);
+  void DeliverJob(int job, int entry, std::uint64_t attempt);
+  int NextEntry(int entry);
+  void Announce(int index);
+  TimePoint LateTime();  ///< When an unanswered call is carried out.
+  /// Calls `action` at the agent, once it is not frozen, unless it has ended.
+  void AtAgent(int index, std::uint64_t incarnation, TimePoint when,
+               std::function<void(WorkerSession&)> action);
   void CheckWorkers();
   void RecordStart(const TaskRun& run);
   void AddViolation(const std::string& description);
@@ -169,6 +209,7 @@
   StepSimulatorOptions options_;
   Random random_;  ///< For the load: independent of scheduling decisions.
   Random call_random_;
+  Random caller_random_;
   TimePoint now_{1000};
   std::multimap<TimePoint, std::function<void()>> events_;
   std::vector<std::unique_ptr<Agent>> agents_;
@@ -181,12 +222,14 @@
   std::set<std::string> started_jobs_;  ///< Jobs that have started a task.
   std::vector<TimePoint> next_arrival_;
   std::set<std::string> data_centres_out_;
-  std::set<std::pair<int, int>> partitions_;  ///< Pairs of nodes.
+  /// By the sending and the receiving node.
+  std::map<std::pair<int, int>, TimePoint> blocked_until_;
   std::uint64_t table_offset_ = 1;
   std::uint64_t starts_ = 0;
   std::map<std::string, int> log_message_counts_;
   bool with_load_ = true;
   std::vector<std::string> violations_;
+  std::set<std::string> violation_descriptions_;  ///< Each is recorded once.
 };
 
 }  // namespace geranium::standins
--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -11,6 +11,8 @@
 /// One-way delay between agent and worker.
 constexpr Duration kCallDelay{1};
 constexpr Duration kOrderTimeout{20};
+/// Share of the orders sent to a silent worker.
+constexpr double kCarriedOutAfterSilence = 0.5;
 
 }  // namespace
 
@@ -18,10 +20,7 @@
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
   for (SessionAction& action : agent.session->TakeActions()) {
     if (auto* send = std::get_if<SendMessage>(&action)) {
-      At(now_ + options_.link_delay,
-         [this, link = send->link, message = send->message] {
-           Deliver(link, true, message);
-         });
+      SendOnLink(send->link, true, std::move(send->message));
     } else if (auto* start = std::get_if<StartRun>(&action)) {
       CallWorker(index, *start);
     } else if (auto* stop = std::get_if<StopRun>(&action)) {
@@ -34,7 +33,7 @@
                    std::get_if<geranium::DisconnectEntry>(&action)) {
       DisconnectAgent(index, release->address);
     } else if (auto* close = std::get_if<CloseLink>(&action)) {
-      At(now_, [this, link = close->link] { BreakLink(link); });
+      At(now_, [this, link = close->link] { CloseEnd(link, true); });
     } else if (auto* message = std::get_if<LogMessage>(&action)) {
       RecordLogMessage(agent.name, *message);
     }
@@ -58,50 +57,98 @@
       return target.worker->Stop(order, now_);
     }
   };
-  const auto answer = [this, index, incarnation,
-                       order](const OrderOutcome& outcome) {
-    Agent& target = *agents_[static_cast<std::size_t>(index)];
-    if (!target.alive || target.incarnation != incarnation) return;
-    if constexpr (std::is_same_v<Order, StartRun>) {
-      target.session->OnStartEnded(order.run, outcome, now_);
-    } else {
-      target.session->OnStopEnded(order.run, outcome, now_);
-    }
-    RunAgentActions(index);
+  const auto answer = [this, index, incarnation, order](
+                          TimePoint when, const OrderOutcome& outcome) {
+    AtAgent(index, incarnation, when, [=, this](WorkerSession& session) {
+      if constexpr (std::is_same_v<Order, StartRun>) {
+        session.OnStartEnded(order.run, outcome, now_);
+      } else {
+        session.OnStopEnded(order.run, outcome, now_);
+      }
+    });
   };
-  const bool unanswered =
-      call_random_.Chance(agent.worker->faults().unanswered);
-  if (!agent.worker_alive || agent.worker->faults().silent || unanswered) {
-    At(now_ + kOrderTimeout, [answer] { answer(OrderOutcome{}); });
-    if (!agent.worker_alive || !unanswered) return;
-    const Duration extra_delay(
-        2000 + static_cast<std::int64_t>(call_random_.Below(10'000)));
-    At(now_ + extra_delay, [this, index, execute] {
+  const auto execute_late = [this, index, execute](TimePoint when) {
+    At(when, [this, index, execute] {
       if (agents_[static_cast<std::size_t>(index)]->worker_alive) execute();
     });
+  };
+  const WorkerFaults& faults = agent.worker->faults();
+  const bool unanswered = call_random_.Chance(faults.unanswered);
+  const bool silent = faults.silent || now_ < agent.silent_until;
+  if (!agent.worker_alive || silent || unanswered) {
+    answer(now_ + kOrderTimeout, OrderOutcome{});
+    if (!agent.worker_alive) return;
+    if (unanswered) return execute_late(LateTime());
+    if (faults.silent) return;
+    if (agent.silence == Silence::kAnswers) {
+      return execute_late(now_ + kCallDelay);
+    }
+    if (call_random_.Chance(kCarriedOutAfterSilence)) {
+      execute_late(agent.silent_until + Duration(static_cast<std::int64_t>(
+                                            call_random_.Below(300))));
+    }
     return;
   }
-  At(now_ + kCallDelay, [this, execute, answer] {
+  const Duration delay =
+      kCallDelay +
+      Duration(static_cast<std::int64_t>(call_random_.Below(
+          static_cast<std::size_t>(faults.answer_delay.ms()) + 1)));
+  At(now_ + kCallDelay, [this, index, incarnation, execute, answer, delay] {
+    if (!agents_[static_cast<std::size_t>(index)]->worker_alive) {
+      return answer(now_ + kOrderTimeout, OrderOutcome{});
+    }
     const OrderOutcome outcome = execute();
-    At(now_ + kCallDelay, [answer, outcome] { answer(outcome); });
+    // An answer that comes after the timeout counts as lost.
+    if (delay > kOrderTimeout) {
+      return answer(now_ + kOrderTimeout, OrderOutcome{});
+    }
+    answer(now_ + delay, outcome);
+  });
+}
+
+TimePoint StepSimulator::LateTime() {
+  return now_ +
+         Duration(2000 + static_cast<std::int64_t>(call_random_.Below(10'000)));
+}
+
+void StepSimulator::AtAgent(int index, std::uint64_t incarnation,
+                            TimePoint when,
+                            std::function<void(WorkerSession&)> action) {
+  At(when, [this, index, incarnation, action = std::move(action)] {
+    Agent& agent = *agents_[static_cast<std::size_t>(index)];
+    if (!agent.alive || agent.incarnation != incarnation) return;
+    if (now_ < agent.frozen_until) {
+      return AtAgent(index, incarnation, agent.frozen_until, action);
+    }
+    action(*agent.session);
+    RunAgentActions(index);
   });
 }
 
 void StepSimulator::AnswerPoll(int index, std::uint64_t incarnation,
                                const PollRuns& order, TimePoint until) {
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
-  if (agent.incarnation != incarnation || !agent.alive) return;
-  const bool lost = !agent.worker_alive || agent.worker->faults().silent ||
-                    call_random_.Chance(agent.worker->faults().unanswered / 20);
-  if (lost) {
-    At(until + kOrderTimeout,
-       [this, index, incarnation, number = order.number] {
-         Agent& target = *agents_[static_cast<std::size_t>(index)];
-         if (!target.alive || target.incarnation != incarnation) return;
-         target.session->OnPollEnded(number, PollOutcome{}, now_);
-         target.session->OnEventsHandled(now_);
-         RunAgentActions(index);
-       });
+  const auto answer = [this, index, incarnation, number = order.number](
+                          TimePoint when, const PollOutcome& outcome) {
+    AtAgent(index, incarnation, when, [=, this](WorkerSession& session) {
+      session.OnPollEnded(number, outcome, now_);
+      session.OnEventsHandled(now_);
+    });
+  };
+  const WorkerFaults& faults = agent.worker->faults();
+  const bool silent = faults.silent || now_ < agent.silent_until;
+  const bool unanswered = call_random_.Chance(faults.unanswered / 20);
+  if (!agent.worker_alive || silent || unanswered) {
+    answer(until + kOrderTimeout, PollOutcome{});
+    if (!agent.worker_alive) return;
+    if (unanswered) {
+      At(LateTime(), [this, index, order] {
+        Agent& late = *agents_[static_cast<std::size_t>(index)];
+        if (late.worker_alive) late.worker->Poll(order, now_);
+      });
+    } else if (!faults.silent && agent.silence == Silence::kAnswers) {
+      agent.worker->Poll(order, now_);
+    }
     return;
   }
   agent.worker->Renew(order, now_);
@@ -112,15 +159,23 @@
     });
     return;
   }
-  const PollOutcome outcome = agent.worker->Poll(order, now_);
-  At(std::max(now_ + kCallDelay, agent.frozen_until),
-     [this, index, incarnation, outcome, number = order.number] {
-       Agent& target = *agents_[static_cast<std::size_t>(index)];
-       if (!target.alive || target.incarnation != incarnation) return;
-       target.session->OnPollEnded(number, outcome, now_);
-       target.session->OnEventsHandled(now_);
-       RunAgentActions(index);
-     });
+  answer(now_ + kCallDelay, agent.worker->Poll(order, now_));
+}
+
+void StepSimulator::Announce(int index) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const WorkerAnnouncement announcement = agent.worker->Announce(now_);
+  const WorkerFaults& faults = agent.worker->faults();
+  if (!call_random_.Chance(faults.late_announcements)) {
+    agent.session->OnAnnouncement(announcement, now_);
+    return;
+  }
+  const Duration delay(500 +
+                       static_cast<std::int64_t>(call_random_.Below(2500)));
+  AtAgent(index, agent.incarnation, now_ + delay,
+          [this, announcement](WorkerSession& session) {
+            session.OnAnnouncement(announcement, now_);
+          });
 }
 
 void StepSimulator::CheckWorkers() {
@@ -167,6 +222,7 @@
 }
 
 void StepSimulator::AddViolation(const std::string& description) {
+  if (!violation_descriptions_.insert(description).second) return;
   violations_.push_back("at " + std::to_string(now_.ms()) +
                         " ms: " + description);
 }
--- a/standins/step_simulator_faults.cc
+++ b/standins/step_simulator_faults.cc
@@ -26,11 +26,10 @@
   Agent& agent = *agents_[static_cast<std::size_t>(worker)];
   if (!agent.alive) return;
   agent.alive = false;
-  std::vector<LinkId> links;
-  for (const auto& [link, ends] : links_) {
-    if (ends.agent == worker) links.push_back(link);
+  for (const LinkId link :
+       FindLinks([&](const LinkEnds& ends) { return ends.agent == worker; })) {
+    CloseEnd(link, true);
   }
-  for (const LinkId link : links) BreakLink(link);
   At(now_ + down, [this, worker] { StartAgent(worker); });
 }
 
@@ -38,68 +37,89 @@
   agents_[static_cast<std::size_t>(worker)]->frozen_until = now_ + span;
 }
 
-void StepSimulator::RestartWorker(int worker, Duration down) {
+void StepSimulator::RestartWorker(int worker, Duration down,
+                                  std::optional<Resources> capacity,
+                                  Duration unannounced) {
   Agent& agent = *agents_[static_cast<std::size_t>(worker)];
   if (!agent.worker_alive) return;
   agent.worker_alive = false;
-  At(now_ + down, [this, worker] {
+  At(now_ + down, [this, worker, capacity, unannounced] {
     Agent& target = *agents_[static_cast<std::size_t>(worker)];
-    target.worker->Restart(now_);
+    target.worker->Restart(now_, capacity);
     target.worker_alive = true;
-    target.next_announcement = now_;
+    target.next_announcement = now_ + unannounced;
   });
 }
 
+void StepSimulator::SilenceWorker(int worker, Duration span, Silence silence) {
+  Agent& agent = *agents_[static_cast<std::size_t>(worker)];
+  agent.silent_until = now_ + span;
+  agent.silence = silence;
+}
+
 void StepSimulator::KillEntry(int index, Duration down) {
   Entry& entry = *entries_[static_cast<std::size_t>(index)];
   if (!entry.alive) return;
   DropCallers(index);
   entry.alive = false;
-  std::vector<LinkId> links;
-  for (const auto& [link, ends] : links_) {
-    if (ends.entry == index || ends.first_entry == index) {
-      links.push_back(link);
-    }
+  for (const LinkId link : FindLinks([&](const LinkEnds& ends) {
+         return ends.entry == index || ends.first_entry == index;
+       })) {
+    CloseEnd(link, links_.at(link).entry != index);
   }
-  for (const LinkId link : links) BreakLink(link);
   At(now_ + down, [this, index] { StartEntry(index); });
 }
 
 void StepSimulator::ResetEntryLinks(int index) {
-  std::vector<LinkId> links;
-  for (const auto& [link, ends] : links_) {
-    const bool between_entries = ends.agent < 0;
-    if (between_entries && (ends.entry == index || ends.first_entry == index)) {
-      links.push_back(link);
-    }
+  for (const LinkId link : FindLinks([&](const LinkEnds& ends) {
+         return ends.agent < 0 &&
+                (ends.entry == index || ends.first_entry == index);
+       })) {
+    BreakLink(link);
+  }
+}
+
+void StepSimulator::ResetAgentLinks(int index, double share) {
+  for (const LinkId link : FindLinks([&](const LinkEnds& ends) {
+         return ends.agent >= 0 && ends.entry == index;
+       })) {
+    if (caller_random_.Chance(share)) BreakLink(link);
   }
-  for (const LinkId link : links) BreakLink(link);
 }
 
 void StepSimulator::FreezeEntry(int index, Duration span) {
   entries_[static_cast<std::size_t>(index)]->frozen_until = now_ + span;
 }
 
-void StepSimulator::DropCallers(int index) {
+void StepSimulator::DropCallers(int index, double share,
+                                std::optional<Duration> notice) {
   Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  std::vector<CallerHandle> dropped;
   for (const auto& [caller, number] : entry.callers) {
+    if (share < 1 && !caller_random_.Chance(share)) continue;
+    dropped.push_back(caller);
     Job& job = *jobs_[static_cast<std::size_t>(number)];
-    if (job.entry != index || job.answer) continue;
+    if (!job.IsCurrent(caller) || job.answer) continue;
     job.connection_lost = true;
-    At(now_ + options_.resend_delay, [this, number = number, index] {
-      SendJob(number, (index + 1) % options_.entries);
+    const std::uint64_t lost = ++job.attempt;
+    At(now_ + options_.resend_delay, [this, number = number, index, lost] {
+      if (jobs_[static_cast<std::size_t>(number)]->attempt != lost) return;
+      SendJob(number, NextEntry(index));
     });
   }
-}
-
-void StepSimulator::ResetCallers(int index) {
-  Entry& entry = *entries_[static_cast<std::size_t>(index)];
-  std::vector<CallerHandle> callers;
-  for (const auto& [caller, number] : entry.callers) callers.push_back(caller);
-  for (const CallerHandle caller : callers) {
-    entry.node->OnCallerGone(caller, now_);
-  }
-  RunEntryActions(index);
+  if (!notice) return;
+  const std::uint64_t incarnation = entry.incarnation;
+  const auto tell = [this, index, incarnation, dropped] {
+    Entry& target = *entries_[static_cast<std::size_t>(index)];
+    if (!target.alive || target.incarnation != incarnation) return;
+    for (const CallerHandle caller : dropped) {
+      target.node->OnCallerGone(caller, now_);
+    }
+    RunEntryActions(index);
+  };
+  const TimePoint when = std::max(now_ + *notice, entry.frozen_until);
+  if (when <= now_) return tell();
+  At(when, tell);
 }
 
 void StepSimulator::PartitionAgent(int worker, Duration span) {
@@ -109,9 +129,21 @@
 }
 
 void StepSimulator::PartitionNodes(int one, int other, Duration span) {
-  const std::pair partition(std::min(one, other), std::max(one, other));
-  partitions_.insert(partition);
-  At(now_ + span, [this, partition] { partitions_.erase(partition); });
+  BlockTraffic(one, other, span);
+  BlockTraffic(other, one, span);
+}
+
+void StepSimulator::BlockTraffic(int from, int to, Duration span) {
+  TimePoint& until = blocked_until_[{from, to}];
+  until = std::max(until, now_ + span);
+}
+
+void StepSimulator::SplitEntries(const std::set<int>& half, Duration span) {
+  for (int i = 0; i < options_.entries; ++i) {
+    for (const int member : half) {
+      if (!half.contains(i)) PartitionNodes(member, i, span);
+    }
+  }
 }
 
 void StepSimulator::SetOutOfService(const std::string& data_centre, bool out) {
--- a/standins/step_simulator_links.cc
+++ b/standins/step_simulator_links.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kRedialInterval{60};
+/// At which blocked messages are tried again.
+constexpr Duration kResendInterval{20};
 constexpr char kEntryPrefix[] = "entry-";
 
 std::string EntryAddress(int index) {
@@ -70,14 +72,16 @@
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
   const int entry = EntryIndex(address);
   agent.dialled_entries.erase(entry);
-  for (const auto& [link, ends] : links_) {
-    if (ends.agent != index || ends.entry != entry) continue;
-    At(now_, [this, link = link] { BreakLink(link); });
+  for (const LinkId link : FindLinks([&](const LinkEnds& ends) {
+         return ends.agent == index && ends.entry == entry;
+       })) {
+    At(now_, [this, link] { CloseEnd(link, true); });
   }
 }
 
-bool StepSimulator::IsPartitioned(int from, int to) const {
-  return partitions_.contains({std::min(from, to), std::max(from, to)});
+bool StepSimulator::IsBlocked(int from, int to) const {
+  const auto found = blocked_until_.find({from, to});
+  return found != blocked_until_.end() && now_ < found->second;
 }
 
 void StepSimulator::Dial(int index, int entry_index) {
@@ -89,7 +93,7 @@
       std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
         const LinkEnds& ends = item.second;
         return ends.agent == index && ends.entry == entry_index &&
-               ends.first_incarnation == incarnation;
+               ends.first_incarnation == incarnation && ends.first_open;
       });
   if (linked) return;
   const bool reachable = agent.alive && entry.alive &&
@@ -106,8 +110,12 @@
     return;
   }
   const LinkId link(next_link_++);
-  links_[link] =
-      LinkEnds{index, -1, entry_index, agent.incarnation, entry.incarnation};
+  LinkEnds ends;
+  ends.agent = index;
+  ends.entry = entry_index;
+  ends.first_incarnation = agent.incarnation;
+  ends.entry_incarnation = entry.incarnation;
+  links_[link] = std::move(ends);
   agent.session->OnLinkUp(link, now_);
   entry.node->OnLinkUp(link, now_);
   RunAgentActions(index);
@@ -118,7 +126,8 @@
   const Entry& first = *entries_[static_cast<std::size_t>(from)];
   const Entry& second = *entries_[static_cast<std::size_t>(to)];
   const std::uint64_t incarnation = first.incarnation;
-  if (!first.alive || !second.alive || IsPartitioned(from, to)) {
+  if (!first.alive || !second.alive || now_ < first.frozen_until ||
+      now_ < second.frozen_until || IsPartitioned(from, to)) {
     At(now_ + kRedialInterval, [this, from, to, incarnation] {
       if (entries_[static_cast<std::size_t>(from)]->incarnation ==
           incarnation) {
@@ -128,85 +137,156 @@
     return;
   }
   const LinkId link(next_link_++);
-  links_[link] = LinkEnds{-1, from, to, first.incarnation, second.incarnation};
+  LinkEnds ends;
+  ends.first_entry = from;
+  ends.entry = to;
+  ends.first_incarnation = first.incarnation;
+  ends.entry_incarnation = second.incarnation;
+  links_[link] = std::move(ends);
   first.node->OnLinkUp(link, now_);
   second.node->OnLinkUp(link, now_);
   RunEntryActions(from);
   RunEntryActions(to);
 }
 
+std::vector<LinkId> StepSimulator::FindLinks(
+    const std::function<bool(const LinkEnds&)>& matches) const {
+  std::vector<LinkId> found;
+  for (const auto& [link, ends] : links_) {
+    if (matches(ends)) found.push_back(link);
+  }
+  return found;
+}
+
 void StepSimulator::BreakLink(LinkId link) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  const LinkEnds ends = found->second;
-  links_.erase(found);
-  Entry& entry = *entries_[static_cast<std::size_t>(ends.entry)];
-  if (entry.alive && entry.incarnation == ends.entry_incarnation) {
+  found->second.to_first.arrivals.clear();
+  found->second.to_second.arrivals.clear();
+  const LinkEnds& ends = found->second;
+  const TimePoint first_frozen_until =
+      ends.agent >= 0
+          ? agents_[static_cast<std::size_t>(ends.agent)]->frozen_until
+          : entries_[static_cast<std::size_t>(ends.first_entry)]->frozen_until;
+  const TimePoint second_frozen_until =
+      entries_[static_cast<std::size_t>(ends.entry)]->frozen_until;
+  const auto close = [this, link](TimePoint frozen_until, bool first) {
+    if (now_ >= frozen_until) return CloseEnd(link, first);
+    At(frozen_until, [this, link, first] { CloseEnd(link, first); });
+  };
+  close(second_frozen_until, false);
+  close(first_frozen_until, true);
+}
+
+void StepSimulator::CloseEnd(LinkId link, bool first) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return;
+  LinkEnds& ends = found->second;
+  bool& open = first ? ends.first_open : ends.second_open;
+  if (!open) return;
+  open = false;
+  SendOnLink(link, first, std::nullopt);
+  const LinkEnds closed = ends;
+  if (!ends.first_open && !ends.second_open) links_.erase(found);
+  if (!first) {
+    Entry& entry = *entries_[static_cast<std::size_t>(closed.entry)];
+    if (!entry.alive || entry.incarnation != closed.entry_incarnation) return;
     entry.node->OnLinkDown(link, now_);
+    return RunEntryActions(closed.entry);
   }
-  if (ends.agent >= 0) {
-    Agent& agent = *agents_[static_cast<std::size_t>(ends.agent)];
-    if (agent.alive && agent.incarnation == ends.first_incarnation) {
-      agent.session->OnLinkDown(link, now_);
-      At(now_ + kRedialInterval, [this, ends, incarnation = agent.incarnation] {
-        if (agents_[static_cast<std::size_t>(ends.agent)]->incarnation ==
-            incarnation) {
-          Dial(ends.agent, ends.entry);
-        }
-      });
-    }
-    return;
+  if (closed.agent >= 0) {
+    Agent& agent = *agents_[static_cast<std::size_t>(closed.agent)];
+    if (!agent.alive || agent.incarnation != closed.first_incarnation) return;
+    agent.session->OnLinkDown(link, now_);
+    RunAgentActions(closed.agent);
+  } else {
+    Entry& entry = *entries_[static_cast<std::size_t>(closed.first_entry)];
+    if (!entry.alive || entry.incarnation != closed.first_incarnation) return;
+    entry.node->OnLinkDown(link, now_);
+    RunEntryActions(closed.first_entry);
   }
-  Entry& first = *entries_[static_cast<std::size_t>(ends.first_entry)];
-  if (!first.alive || first.incarnation != ends.first_incarnation) return;
-  first.node->OnLinkDown(link, now_);
-  At(now_ + kRedialInterval, [this, ends, incarnation = first.incarnation] {
-    if (entries_[static_cast<std::size_t>(ends.first_entry)]->incarnation ==
-        incarnation) {
-      DialEntry(ends.first_entry, ends.entry);
-    }
+  At(now_ + kRedialInterval, [this, closed] {
+    const bool is_agent = closed.agent >= 0;
+    const std::uint64_t incarnation =
+        is_agent ? agents_[static_cast<std::size_t>(closed.agent)]->incarnation
+                 : entries_[static_cast<std::size_t>(closed.first_entry)]
+                       ->incarnation;
+    if (incarnation != closed.first_incarnation) return;
+    if (is_agent) return Dial(closed.agent, closed.entry);
+    DialEntry(closed.first_entry, closed.entry);
   });
 }
 
-void StepSimulator::Deliver(LinkId link, bool to_second,
-                            const Message& message) {
+void StepSimulator::SendOnLink(LinkId link, bool to_second,
+                               std::optional<Message> message) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  const LinkEnds ends = found->second;
+  LinkEnds& ends = found->second;
+  const bool sender_open = to_second ? ends.first_open : ends.second_open;
+  if (message && !sender_open) return;
+  LinkEnds::Direction& direction = to_second ? ends.to_second : ends.to_first;
+  const TimePoint when = now_ + options_.link_delay;
+  direction.arrivals.push_back({when, std::move(message)});
+  At(when, [this, link, to_second] { Deliver(link, to_second); });
+}
+
+void StepSimulator::Deliver(LinkId link, bool to_second) {
+  while (DeliverNext(link, to_second)) {
+  }
+}
+
+// False if nothing more has arrived, or it has to wait.
+bool StepSimulator::DeliverNext(LinkId link, bool to_second) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return false;
+  LinkEnds& ends = found->second;
+  LinkEnds::Direction& direction = to_second ? ends.to_second : ends.to_first;
+  if (direction.arrivals.empty() || direction.arrivals.front().at > now_) {
+    return false;
+  }
+  const bool to_agent = !to_second && ends.agent >= 0;
   const int first =
       ends.agent >= 0 ? options_.entries + ends.agent : ends.first_entry;
-  if (IsPartitioned(first, ends.entry)) {
-    // Retried until the partition ends.
-    At(now_ + Duration(20),
-       [this, link, to_second, message] { Deliver(link, to_second, message); });
-    return;
+  const int receiver =
+      to_agent ? ends.agent : (to_second ? ends.entry : ends.first_entry);
+  const auto slot = static_cast<std::size_t>(receiver);
+  const bool blocked =
+      to_second ? IsBlocked(first, ends.entry) : IsBlocked(ends.entry, first);
+  const TimePoint frozen_until =
+      to_agent ? agents_[slot]->frozen_until : entries_[slot]->frozen_until;
+  if (blocked || now_ < frozen_until) {
+    if (direction.waiting) return false;
+    direction.waiting = true;
+    At(blocked ? now_ + kResendInterval : frozen_until,
+       [this, link, to_second, &direction] {
+         if (!links_.contains(link)) return;
+         direction.waiting = false;
+         Deliver(link, to_second);
+       });
+    return false;
   }
-  const int entry_index = to_second ? ends.entry : ends.first_entry;
-  if (!to_second && ends.agent >= 0) {
-    Agent& agent = *agents_[static_cast<std::size_t>(ends.agent)];
-    if (!agent.alive || agent.incarnation != ends.first_incarnation) return;
-    if (now_ < agent.frozen_until) {
-      At(agent.frozen_until, [this, link, to_second, message] {
-        Deliver(link, to_second, message);
-      });
-      return;
-    }
-    agent.session->OnMessage(link, message, now_);
-    RunAgentActions(ends.agent);
-    return;
-  }
-  Entry& entry = *entries_[static_cast<std::size_t>(entry_index)];
+  const std::optional<Message> message =
+      std::move(direction.arrivals.front().message);
+  direction.arrivals.pop_front();
   const std::uint64_t incarnation =
       to_second ? ends.entry_incarnation : ends.first_incarnation;
-  if (!entry.alive || entry.incarnation != incarnation) return;
-  if (now_ < entry.frozen_until) {
-    At(entry.frozen_until,
-       [this, link, to_second, message] { Deliver(link, to_second, message); });
-    return;
+  const bool open = to_second ? ends.second_open : ends.first_open;
+  const bool running =
+      to_agent
+          ? agents_[slot]->alive && agents_[slot]->incarnation == incarnation
+          : entries_[slot]->alive && entries_[slot]->incarnation == incarnation;
+  if (!open || !running) return true;
+  if (!message) {
+    CloseEnd(link, !to_second);
+  } else if (to_agent) {
+    agents_[slot]->session->OnMessage(link, *message, now_);
+    RunAgentActions(receiver);
+  } else {
+    entries_[slot]->node->OnMessage(link, *message, now_);
+    entries_[slot]->node->OnFrameEnd(now_);
+    RunEntryActions(receiver);
   }
-  entry.node->OnMessage(link, message, now_);
-  entry.node->OnFrameEnd(now_);
-  RunEntryActions(entry_index);
+  return true;
 }
 
 void StepSimulator::RunEntryActions(int index) {
@@ -218,14 +298,15 @@
       const bool to_second =
           found->second.entry != index ||
           found->second.entry_incarnation != entry.incarnation;
-      At(now_ + options_.link_delay,
-         [this, link = send->link, to_second, message = send->message] {
-           Deliver(link, to_second, message);
-         });
+      SendOnLink(send->link, to_second, std::move(send->message));
     } else if (auto* answer = std::get_if<AnswerStepJob>(&action)) {
       OnAnswer(index, *answer);
     } else if (auto* close = std::get_if<CloseLink>(&action)) {
-      At(now_, [this, link = close->link] { BreakLink(link); });
+      const auto found = links_.find(close->link);
+      if (found == links_.end()) continue;
+      const bool first = found->second.entry != index ||
+                         found->second.entry_incarnation != entry.incarnation;
+      At(now_, [this, link = close->link, first] { CloseEnd(link, first); });
     } else if (auto* message = std::get_if<LogMessage>(&action)) {
       RecordLogMessage("entry-" + std::to_string(index), *message);
     }
--- a/standins/step_simulator_parts.h
+++ b/standins/step_simulator_parts.h
@@ -2,6 +2,7 @@
 #define GERANIUM_STANDINS_STEP_SIMULATOR_PARTS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,8 @@
 /// Host of the submitted jobs and service of the workers.
 inline constexpr char kHost[] = "callers.example";
 inline constexpr char kService[] = "desk";
+/// Of one job.
+inline constexpr std::uint64_t kMaxSubmissions = 1000;
 
 struct StepSimulator::Agent {
   std::string name;
@@ -28,6 +31,8 @@
   bool alive = false;
   bool worker_alive = true;
   TimePoint frozen_until = TimePoint::Never();
+  TimePoint silent_until = TimePoint::Never();  ///< Of the worker.
+  Silence silence = Silence::kBothWays;
   TimePoint next_tick;
   TimePoint next_announcement;
 };
@@ -56,14 +61,33 @@
   bool caller_left = false;
   bool connection_lost = false;  ///< A submission ended without an answer.
   bool always_fails = false;
+
+  /// True for the handle of the newest submission.
+  bool IsCurrent(CallerHandle caller) const {
+    return caller.value() % kMaxSubmissions == attempt;
+  }
 };
 
 struct StepSimulator::LinkEnds {
+  /// Messages on their way to one end, in order.
+  struct Direction {
+    struct Arrival {
+      TimePoint at;
+      std::optional<Message> message;  ///< Unset: the sender closed its end.
+    };
+    std::deque<Arrival> arrivals;
+    bool waiting = false;  ///< For the end of a partition or freeze.
+  };
+
   int agent = -1;  ///< The first end; -1 if it is an entry.
   int first_entry = -1;
   int entry = -1;  ///< The second end.
   std::uint64_t first_incarnation = 0;
   std::uint64_t entry_incarnation = 0;
+  bool first_open = true;
+  bool second_open = true;
+  Direction to_first{};
+  Direction to_second{};
 };
 
 }  // namespace geranium::standins
