Let late calls die with a worker's life, and entries read lost callers late

A poll is lost when its worker ends. Whether a call that is carried out late reaches the next incarnation is an option, on by default. An entry that thaws reads the ends of callers' connections among all else that has arrived.

--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -56,6 +56,9 @@
   /// Callers send a lost job to any entry, the same one included, instead of
   /// the next one.
   bool resend_anywhere = false;
+  /// A call to a worker that is carried out late may reach its next
+  /// incarnation, which has seen no token and no stop.
+  bool late_calls_outlive_workers = true;
   Duration caller_timeout{5000};  ///< Sent with each submission.
 };
 
@@ -189,13 +192,16 @@
   void RunEntryActions(int index);
   template <class Order>
   void CallWorker(int index, const Order& order);
-  void AnswerPoll(int index, std::uint64_t incarnation, const PollRuns& order,
+  void AnswerPoll(int index, std::uint64_t incarnation,
+                  std::uint64_t worker_life, const PollRuns& order,
                   TimePoint until);
   void OnAnswer(int entry, const AnswerStepJob& answer);
   void SendJob(int job, int entry);
   void DeliverJob(int job, int entry, std::uint64_t attempt);
   int NextEntry(int entry);
   void Announce(int index);
+  /// True if a late call, sent in the worker's given life, is carried out.
+  bool IsReachableLate(int index, std::uint64_t life) const;
   TimePoint LateTime();  ///< When an unanswered call is carried out.
   /// Calls `action` at the agent, once it is not frozen, unless it has ended.
   void AtAgent(int index, std::uint64_t incarnation, TimePoint when,
--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -26,7 +26,8 @@
     } else if (auto* stop = std::get_if<StopRun>(&action)) {
       CallWorker(index, *stop);
     } else if (auto* poll = std::get_if<PollRuns>(&action)) {
-      AnswerPoll(index, agent.incarnation, *poll, now_ + poll->wait);
+      AnswerPoll(index, agent.incarnation, agent.worker_life, *poll,
+                 now_ + poll->wait);
     } else if (auto* connect = std::get_if<ConnectEntry>(&action)) {
       ConnectAgent(index, connect->address);
     } else if (auto* release =
@@ -67,9 +68,10 @@
       }
     });
   };
-  const auto execute_late = [this, index, execute](TimePoint when) {
-    At(when, [this, index, execute] {
-      if (agents_[static_cast<std::size_t>(index)]->worker_alive) execute();
+  const auto execute_late = [this, index, execute,
+                             life = agent.worker_life](TimePoint when) {
+    At(when, [this, index, execute, life] {
+      if (IsReachableLate(index, life)) execute();
     });
   };
   const WorkerFaults& faults = agent.worker->faults();
@@ -106,6 +108,12 @@
   });
 }
 
+bool StepSimulator::IsReachableLate(int index, std::uint64_t life) const {
+  const Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  return agent.worker_alive &&
+         (options_.late_calls_outlive_workers || agent.worker_life == life);
+}
+
 TimePoint StepSimulator::LateTime() {
   return now_ +
          Duration(2000 + static_cast<std::int64_t>(call_random_.Below(10'000)));
@@ -126,7 +134,8 @@
 }
 
 void StepSimulator::AnswerPoll(int index, std::uint64_t incarnation,
-                               const PollRuns& order, TimePoint until) {
+                               std::uint64_t worker_life, const PollRuns& order,
+                               TimePoint until) {
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
   const auto answer = [this, index, incarnation, number = order.number](
                           TimePoint when, const PollOutcome& outcome) {
@@ -135,6 +144,10 @@
       session.OnEventsHandled(now_);
     });
   };
+  if (agent.worker_life != worker_life) {
+    // The connection broke with the worker.
+    return answer(now_ + kCallDelay, PollOutcome{});
+  }
   const WorkerFaults& faults = agent.worker->faults();
   const bool silent = faults.silent || now_ < agent.silent_until;
   const bool unanswered = call_random_.Chance(faults.unanswered / 20);
@@ -142,9 +155,9 @@
     answer(until + kOrderTimeout, PollOutcome{});
     if (!agent.worker_alive) return;
     if (unanswered) {
-      At(LateTime(), [this, index, order] {
-        Agent& late = *agents_[static_cast<std::size_t>(index)];
-        if (late.worker_alive) late.worker->Poll(order, now_);
+      At(LateTime(), [this, index, order, worker_life] {
+        if (!IsReachableLate(index, worker_life)) return;
+        agents_[static_cast<std::size_t>(index)]->worker->Poll(order, now_);
       });
     } else if (!faults.silent && agent.silence == Silence::kAnswers) {
       agent.worker->Poll(order, now_);
@@ -154,8 +167,8 @@
   agent.worker->Renew(order, now_);
   if (now_ < until &&
       !agent.worker->HasUnacknowledgedEnd(order.acknowledged_end)) {
-    At(now_ + Duration(2), [this, index, incarnation, order, until] {
-      AnswerPoll(index, incarnation, order, until);
+    At(now_ + Duration(2), [=, this] {
+      AnswerPoll(index, incarnation, worker_life, order, until);
     });
     return;
   }
--- a/standins/step_simulator_faults.cc
+++ b/standins/step_simulator_faults.cc
@@ -43,6 +43,7 @@
   Agent& agent = *agents_[static_cast<std::size_t>(worker)];
   if (!agent.worker_alive) return;
   agent.worker_alive = false;
+  ++agent.worker_life;
   At(now_ + down, [this, worker, capacity, unannounced] {
     Agent& target = *agents_[static_cast<std::size_t>(worker)];
     target.worker->Restart(now_, capacity);
@@ -117,9 +118,16 @@
     }
     RunEntryActions(index);
   };
-  const TimePoint when = std::max(now_ + *notice, entry.frozen_until);
-  if (when <= now_) return tell();
-  At(when, tell);
+  if (now_ + *notice < entry.frozen_until) {
+    // It reads the ends of connections among all else that has arrived.
+    At(entry.frozen_until +
+           Duration(static_cast<std::int64_t>(caller_random_.Below(30))),
+       tell);
+  } else if (*notice > Duration(0)) {
+    At(now_ + *notice, tell);
+  } else {
+    tell();
+  }
 }
 
 void StepSimulator::PartitionAgent(int worker, Duration span) {
