--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -11,6 +11,8 @@
 /// One-way delay between agent and worker.
 constexpr Duration kCallDelay{1};
 constexpr Duration kOrderTimeout{20};
+/// Share of the orders sent to a silent worker.
+constexpr double kCarriedOutAfterSilence = 0.5;
 
 }  // namespace
 
@@ -18,23 +20,21 @@
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
   for (SessionAction& action : agent.session->TakeActions()) {
     if (auto* send = std::get_if<SendMessage>(&action)) {
-      At(now_ + options_.link_delay,
-         [this, link = send->link, message = send->message] {
-           Deliver(link, true, message);
-         });
+      SendOnLink(send->link, true, std::move(send->message));
     } else if (auto* start = std::get_if<StartRun>(&action)) {
       CallWorker(index, *start);
     } else if (auto* stop = std::get_if<StopRun>(&action)) {
       CallWorker(index, *stop);
     } else if (auto* poll = std::get_if<PollRuns>(&action)) {
-      AnswerPoll(index, agent.incarnation, *poll, now_ + poll->wait);
+      AnswerPoll(index, agent.incarnation, agent.worker_life, *poll,
+                 now_ + poll->wait);
     } else if (auto* connect = std::get_if<ConnectEntry>(&action)) {
       ConnectAgent(index, connect->address);
     } else if (auto* release =
                    std::get_if<geranium::DisconnectEntry>(&action)) {
       DisconnectAgent(index, release->address);
     } else if (auto* close = std::get_if<CloseLink>(&action)) {
-      At(now_, [this, link = close->link] { BreakLink(link); });
+      At(now_, [this, link = close->link] { CloseEnd(link, true); });
     } else if (auto* message = std::get_if<LogMessage>(&action)) {
       RecordLogMessage(agent.name, *message);
     }
@@ -58,69 +58,137 @@
       return target.worker->Stop(order, now_);
     }
   };
-  const auto answer = [this, index, incarnation,
-                       order](const OrderOutcome& outcome) {
-    Agent& target = *agents_[static_cast<std::size_t>(index)];
-    if (!target.alive || target.incarnation != incarnation) return;
-    if constexpr (std::is_same_v<Order, StartRun>) {
-      target.session->OnStartEnded(order.run, outcome, now_);
-    } else {
-      target.session->OnStopEnded(order.run, outcome, now_);
-    }
-    RunAgentActions(index);
+  const auto answer = [this, index, incarnation, order](
+                          TimePoint when, const OrderOutcome& outcome) {
+    AtAgent(index, incarnation, when, [=, this](WorkerSession& session) {
+      if constexpr (std::is_same_v<Order, StartRun>) {
+        session.OnStartEnded(order.run, outcome, now_);
+      } else {
+        session.OnStopEnded(order.run, outcome, now_);
+      }
+    });
   };
-  const bool unanswered =
-      call_random_.Chance(agent.worker->faults().unanswered);
-  if (!agent.worker_alive || agent.worker->faults().silent || unanswered) {
-    At(now_ + kOrderTimeout, [answer] { answer(OrderOutcome{}); });
-    if (!agent.worker_alive || !unanswered) return;
-    const Duration extra_delay(
-        2000 + static_cast<std::int64_t>(call_random_.Below(10'000)));
-    At(now_ + extra_delay, [this, index, execute] {
-      if (agents_[static_cast<std::size_t>(index)]->worker_alive) execute();
+  const auto execute_late = [this, index, execute,
+                             life = agent.worker_life](TimePoint when) {
+    At(when, [this, index, execute, life] {
+      if (IsReachableLate(index, life)) execute();
     });
+  };
+  const WorkerFaults& faults = agent.worker->faults();
+  const bool unanswered = call_random_.Chance(faults.unanswered);
+  const bool silent = faults.silent || now_ < agent.silent_until;
+  if (!agent.worker_alive || silent || unanswered) {
+    answer(now_ + kOrderTimeout, OrderOutcome{});
+    if (!agent.worker_alive) return;
+    if (unanswered) return execute_late(LateTime());
+    if (faults.silent) return;
+    if (agent.silence == Silence::kAnswers) {
+      return execute_late(now_ + kCallDelay);
+    }
+    if (call_random_.Chance(kCarriedOutAfterSilence)) {
+      execute_late(agent.silent_until + Duration(static_cast<std::int64_t>(
+                                            call_random_.Below(300))));
+    }
     return;
   }
-  At(now_ + kCallDelay, [this, execute, answer] {
+  const Duration delay =
+      kCallDelay +
+      Duration(static_cast<std::int64_t>(call_random_.Below(
+          static_cast<std::size_t>(faults.answer_delay.ms()) + 1)));
+  At(now_ + kCallDelay, [this, index, incarnation, execute, answer, delay] {
+    if (!agents_[static_cast<std::size_t>(index)]->worker_alive) {
+      return answer(now_ + kOrderTimeout, OrderOutcome{});
+    }
     const OrderOutcome outcome = execute();
-    At(now_ + kCallDelay, [answer, outcome] { answer(outcome); });
+    // An answer that comes after the timeout counts as lost.
+    if (delay > kOrderTimeout) {
+      return answer(now_ + kOrderTimeout, OrderOutcome{});
+    }
+    answer(now_ + delay, outcome);
+  });
+}
+
+bool StepSimulator::IsReachableLate(int index, std::uint64_t life) const {
+  const Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  return agent.worker_alive &&
+         (options_.late_calls_outlive_workers || agent.worker_life == life);
+}
+
+TimePoint StepSimulator::LateTime() {
+  return now_ +
+         Duration(2000 + static_cast<std::int64_t>(call_random_.Below(10'000)));
+}
+
+void StepSimulator::AtAgent(int index, std::uint64_t incarnation,
+                            TimePoint when,
+                            std::function<void(WorkerSession&)> action) {
+  At(when, [this, index, incarnation, action = std::move(action)] {
+    Agent& agent = *agents_[static_cast<std::size_t>(index)];
+    if (!agent.alive || agent.incarnation != incarnation) return;
+    if (now_ < agent.frozen_until) {
+      return AtAgent(index, incarnation, agent.frozen_until, action);
+    }
+    action(*agent.session);
+    RunAgentActions(index);
   });
 }
 
 void StepSimulator::AnswerPoll(int index, std::uint64_t incarnation,
-                               const PollRuns& order, TimePoint until) {
+                               std::uint64_t worker_life, const PollRuns& order,
+                               TimePoint until) {
   Agent& agent = *agents_[static_cast<std::size_t>(index)];
-  if (agent.incarnation != incarnation || !agent.alive) return;
-  const bool lost = !agent.worker_alive || agent.worker->faults().silent ||
-                    call_random_.Chance(agent.worker->faults().unanswered / 20);
-  if (lost) {
-    At(until + kOrderTimeout,
-       [this, index, incarnation, number = order.number] {
-         Agent& target = *agents_[static_cast<std::size_t>(index)];
-         if (!target.alive || target.incarnation != incarnation) return;
-         target.session->OnPollEnded(number, PollOutcome{}, now_);
-         target.session->OnEventsHandled(now_);
-         RunAgentActions(index);
-       });
+  const auto answer = [this, index, incarnation, number = order.number](
+                          TimePoint when, const PollOutcome& outcome) {
+    AtAgent(index, incarnation, when, [=, this](WorkerSession& session) {
+      session.OnPollEnded(number, outcome, now_);
+      session.OnEventsHandled(now_);
+    });
+  };
+  if (agent.worker_life != worker_life) {
+    // The connection broke with the worker.
+    return answer(now_ + kCallDelay, PollOutcome{});
+  }
+  const WorkerFaults& faults = agent.worker->faults();
+  const bool silent = faults.silent || now_ < agent.silent_until;
+  const bool unanswered = call_random_.Chance(faults.unanswered / 20);
+  if (!agent.worker_alive || silent || unanswered) {
+    answer(until + kOrderTimeout, PollOutcome{});
+    if (!agent.worker_alive) return;
+    if (unanswered) {
+      At(LateTime(), [this, index, order, worker_life] {
+        if (!IsReachableLate(index, worker_life)) return;
+        agents_[static_cast<std::size_t>(index)]->worker->Poll(order, now_);
+      });
+    } else if (!faults.silent && agent.silence == Silence::kAnswers) {
+      agent.worker->Poll(order, now_);
+    }
     return;
   }
   agent.worker->Renew(order, now_);
   if (now_ < until &&
       !agent.worker->HasUnacknowledgedEnd(order.acknowledged_end)) {
-    At(now_ + Duration(2), [this, index, incarnation, order, until] {
-      AnswerPoll(index, incarnation, order, until);
+    At(now_ + Duration(2), [=, this] {
+      AnswerPoll(index, incarnation, worker_life, order, until);
     });
     return;
   }
-  const PollOutcome outcome = agent.worker->Poll(order, now_);
-  At(std::max(now_ + kCallDelay, agent.frozen_until),
-     [this, index, incarnation, outcome, number = order.number] {
-       Agent& target = *agents_[static_cast<std::size_t>(index)];
-       if (!target.alive || target.incarnation != incarnation) return;
-       target.session->OnPollEnded(number, outcome, now_);
-       target.session->OnEventsHandled(now_);
-       RunAgentActions(index);
-     });
+  answer(now_ + kCallDelay, agent.worker->Poll(order, now_));
+}
+
+void StepSimulator::Announce(int index) {
+  Agent& agent = *agents_[static_cast<std::size_t>(index)];
+  const WorkerAnnouncement announcement = agent.worker->Announce(now_);
+  const WorkerFaults& faults = agent.worker->faults();
+  if (!call_random_.Chance(faults.late_announcements)) {
+    agent.session->OnAnnouncement(announcement, now_);
+    return;
+  }
+  const Duration delay(500 +
+                       static_cast<std::int64_t>(call_random_.Below(2500)));
+  AtAgent(index, agent.incarnation, now_ + delay,
+          [this, announcement](WorkerSession& session) {
+            session.OnAnnouncement(announcement, now_);
+          });
 }
 
 void StepSimulator::CheckWorkers() {
@@ -167,6 +235,7 @@
 }
 
 void StepSimulator::AddViolation(const std::string& description) {
+  if (!violation_descriptions_.insert(description).second) return;
   violations_.push_back("at " + std::to_string(now_.ms()) +
                         " ms: " + description);
 }
