Judge no other entry as lost right after a standstill

What callers saw: a task of their job ran twice at the same time. Found by review, not seen on a deployment. Cause: an entry that had stood still compared the clock with when it last heard from the others before that. A job that one of them had, sent here, was started without asking that entry. Change: a standstill sets these times to now, and the jobs abandoned then are known to have run before a new submission is looked at. Measured: the test of a job sent to an entry that stood still failed before and passes.

--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -91,12 +91,16 @@
 }
 
 // Agents have stopped the runs of these jobs. Their callers may have sent them
-// to another entry, and entries that ask this one wait no longer than that.
+// to another entry, which starts them once this one has been silent for
+// `kWorkerLostTimeout`.
 void StepEntryNode::AbandonJobsAfterStandstill(TimePoint now) {
   const TimePoint last_active = std::exchange(last_active_, now);
   if (last_active == TimePoint::Never()) return;
   if (now - last_active < kMaxStandstill) return;
   const std::size_t abandoned = scheduler_.AbandonOpenJobs(now);
+  CollectActions(now);
+  // What the others sent meanwhile has not been read yet.
+  for (auto& [entry, heard] : entry_heard_) heard = now;
   Log(LogLevel::kWarning, "stood_still",
       {{"standstill_ms", std::to_string((now - last_active).ms())},
        {"abandoned_jobs", std::to_string(abandoned)}});
