Let only a newer agent's card end the runs of the agent before it

What callers saw: a task of their job ran twice at the same time. Found by review, not seen on a deployment. Cause: a card that says that earlier runs have ended ended the attempts of every other agent of that worker. The card of an agent that was killed may arrive late, over a link that loses packets, and ended those of its successor. Change: a card ends the attempts of agents whose newest link is older. Measured: the test of a late card failed before and passes.

--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -176,6 +176,7 @@
   struct Worker {
     Incarnation agent;
     std::optional<LinkId> link;
+    LinkId newest_link;  ///< Also when it is down.
     std::optional<WorkerCard> card;
     WorkerReport report;
     TimePoint reported_at;
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -195,6 +195,7 @@
   if (worker.link) by_link_.erase(*worker.link);
   worker.agent = agent;
   worker.link = link;
+  worker.newest_link = link;
   worker.last_heard = now;
   worker.cpu_sent = 0;
   worker.report = WorkerReport{};
@@ -218,15 +219,17 @@
 }
 
 // Runs that an agent's predecessor had started have all ended once it reports
-// itself settled.
+// itself settled. A card of the predecessor may still arrive, over an older
+// link.
 void StepScheduler::On(LinkId link, const WorkerCard& card, TimePoint now) {
   Worker* worker = FindByLink(link);
   if (worker == nullptr) return;
   worker->card = card;
   if (!card.previous_runs_ended) return;
   for (auto& [agent, other] : workers_) {
-    const bool replaced = agent != worker->agent && other.card &&
-                          other.card->id == card.id && !other.attempts.empty();
+    const bool replaced = other.newest_link < worker->newest_link &&
+                          other.card && other.card->id == card.id &&
+                          !other.attempts.empty();
     if (replaced) MarkWorkerLost(other, "its agent was replaced", now);
   }
 }
