Start no queued order that has expired

Cause: orders that had waited too long, or whose entry was silent, were returned by the next tick only. After a standstill the answer to a poll may come before the tick, and started them, though their entry had given them up. Found by review; the worker's check of the lease mostly rejects such starts. Change: the age of the order and of its entry's last sign of life are checked when it is started. Two comments say more.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -132,8 +132,8 @@
     bool has_run = false;
     bool speed_recorded = false;  ///< Its speed has been recorded.
     /// Only polls from this number on were sent after the answer to its start,
-    /// or to its stop once that is accepted; what earlier ones list or leave
-    /// out says nothing.
+    /// or to its stop once that is accepted. That an earlier one does not list
+    /// the run says nothing.
     std::uint64_t first_valid_poll = 0;
     bool stop_accepted = false;
     TimePoint stop_sent_at = TimePoint::Never();
@@ -171,6 +171,7 @@
 
   std::string RefusalReason(const Peer& peer, const Entry& entry,
                             const StartTask& order, TimePoint now) const;
+  bool IsExpired(const Attempt& queued, TimePoint now) const;
   void StartQueued(TimePoint now);
   void Start(Attempt& attempt, TimePoint now);
   void Stop(Attempt& attempt, const std::string& reason, TimePoint now);
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -79,6 +79,15 @@
   StartQueued(now);
 }
 
+// Also of orders that the next tick is to return: their entry may have given
+// them up while this process stood still.
+bool WorkerSession::IsExpired(const Attempt& queued, TimePoint now) const {
+  const auto entry = entries_.find(queued.entry);
+  return now - queued.state_since > queued.order.max_wait ||
+         entry == entries_.end() ||
+         now - entry->second.last_alive_at > kEntryTimeout;
+}
+
 // By priority, then by age. Smaller tasks may overtake a large one at the head
 // only until its queue time limit, when it is returned to the entry.
 void WorkerSession::StartQueued(TimePoint now) {
@@ -92,7 +101,9 @@
            std::pair(b->order.priority, b->state_since);
   });
   for (Attempt* attempt : queue) {
-    if (HasCapacity(attempt->order.size)) Start(*attempt, now);
+    if (!IsExpired(*attempt, now) && HasCapacity(attempt->order.size)) {
+      Start(*attempt, now);
+    }
   }
 }
 
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -49,7 +49,8 @@
 void WorkerSession::PollIfDue(TimePoint now) {
   if (!worker_ || long_poll_ != 0 || now < next_poll_) return;
   PollRuns poll;
-  // Runs of an earlier agent must end in time though nobody stops them yet.
+  // The lease is the whole worker's. Runs of an earlier agent must end in time
+  // though nobody stops them yet; without such runs here, ours go on.
   const bool may_renew = settled_ || HasStartedAttempts();
   if (may_renew && now - last_answer_at_ < kWorkerTimeout) {
     poll.lease_until_ms = LeaseUntil(now);
