Let a worker that left be used again when a poll shows its restart first

Cause: that a worker has left was forgotten only with an announcement that showed a new incarnation. If a poll showed it first, the agent took no orders for that worker any more. Found by review. Change: each new incarnation clears it. Measured: the test failed before and passes.

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -42,7 +42,6 @@
       announcement.draining && (!worker_ || !worker_->draining);
   worker_ = announcement;
   if (is_new) {
-    worker_left_ = false;
     started_ms_ = announcement.started_ms;
     clock_offset_ms_ = announcement.clock_ms - now.ms();
     Log(LogLevel::kInfo, "worker_registered",
@@ -75,6 +74,7 @@
 void WorkerSession::BeginIncarnation(TimePoint now) {
   settled_ = false;
   ++state_version_;
+  worker_left_ = false;
   acknowledged_end_ = 0;
   unknown_runs_.clear();
   run_statistics_ = RunStatistics();
