Remember all entries that may have runs of a job, and whom it was asked of

What callers saw: a task of their job ran twice at the same time. Found by review, not seen on a deployment. Cause: of several entries that announced a job, only the last one was asked for it. If that one was lost, the job was started although another still had it. And an answer to an earlier request, late or sent twice, ended a handover that waited for another entry. Change: a handover keeps the entries known to hold the job when it began, asks them one after the other, and counts only answers of the one that is asked.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -11,29 +11,53 @@
 
 }  // namespace
 
+bool StepEntryNode::IsLost(Incarnation entry, TimePoint now) const {
+  const auto heard = entry_heard_.find(entry);
+  return heard == entry_heard_.end() ||
+         now - heard->second > StepScheduler::kWorkerLostTimeout;
+}
+
 bool StepEntryNode::RequestHandover(const StepJobId& job, TimePoint now) {
-  const auto found = known_jobs_.find(job);
-  if (found == known_jobs_.end()) return false;
-  const Incarnation entry = found->second.entry;
-  const auto last_heard = entry_heard_.find(entry);
-  const bool is_lost =
-      last_heard == entry_heard_.end() ||
-      now - last_heard->second > StepScheduler::kWorkerLostTimeout;
-  found->second.successor.reset();
-  if (is_lost) return false;
-  handovers_[job] = Handover{entry, now};
-  if (const auto link = LinkOf(entry)) Send(*link, JobHandoverRequest{job});
+  const auto known = known_jobs_.find(job);
+  if (known == known_jobs_.end()) return false;
+  known->second.successor.reset();
+  return AskNextHolder(job, known->second.holders, now);
+}
+
+bool StepEntryNode::AskNextHolder(const StepJobId& job,
+                                  std::vector<Incarnation> holders,
+                                  TimePoint now) {
+  std::erase_if(holders, [&](Incarnation entry) { return IsLost(entry, now); });
+  if (holders.empty()) return false;
+  const Incarnation newest = holders.back();
+  holders.pop_back();
+  handovers_[job] = Handover{newest, now, std::move(holders)};
+  if (const auto link = LinkOf(newest)) Send(*link, JobHandoverRequest{job});
   Log(LogLevel::kInfo, "job_sent_again",
-      {{"job", job.value()}, {"held_by", ToString(entry)}});
+      {{"job", job.value()}, {"held_by", ToString(newest)}});
   return true;
 }
 
+// Entries that announce the job later got it from its caller later, and ask
+// this one.
+void StepEntryNode::ContinueHandover(const StepJobId& job, TimePoint now) {
+  const Handover handover = handovers_.at(job);
+  const auto known = known_jobs_.find(job);
+  if (known != known_jobs_.end()) {
+    std::erase(known->second.holders, handover.from);
+  }
+  if (!AskNextHolder(job, handover.others, now)) EndHandover(job, now);
+}
+
 void StepEntryNode::On(LinkId link, const JobsAccepted& accepted,
                        TimePoint now) {
   const Peer& peer = peers_[link];
   if (!peer.hello) return;
+  const Incarnation entry = peer.hello->incarnation;
   for (const StepJobId& job : accepted.jobs) {
-    KeepKnownJob(job, now).entry = peer.hello->incarnation;
+    std::vector<Incarnation>& holders = KeepKnownJob(job, now).holders;
+    std::erase(holders, entry);
+    holders.push_back(entry);
   }
 }
 
@@ -72,15 +96,30 @@
   Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
 }
 
-void StepEntryNode::On(LinkId /*link*/, const JobHandedOver& handed,
+// Null unless the sender is the one that is asked now: an answer to an earlier
+// request may arrive late, or twice.
+StepEntryNode::Handover* StepEntryNode::FindHandover(const StepJobId& job,
+                                                     LinkId sender) {
+  const auto found = handovers_.find(job);
+  const Peer& peer = peers_[sender];
+  const bool matches = found != handovers_.end() && peer.hello &&
+                       peer.hello->incarnation == found->second.from;
+  return matches ? &found->second : nullptr;
+}
+
+void StepEntryNode::On(LinkId link, const JobHandedOver& handed,
                        TimePoint now) {
-  if (handovers_.contains(handed.job)) EndHandover(handed.job, now);
+  if (FindHandover(handed.job, link) != nullptr) {
+    ContinueHandover(handed.job, now);
+  }
 }
 
-void StepEntryNode::On(LinkId /*link*/, const JobMoved& moved, TimePoint now) {
-  const auto found = handovers_.find(moved.job);
-  if (found == handovers_.end()) return;
-  found->second = Handover{moved.entry, now};
+void StepEntryNode::On(LinkId link, const JobMoved& moved, TimePoint now) {
+  Handover* handover = FindHandover(moved.job, link);
+  if (handover == nullptr) return;
+  std::erase(KeepKnownJob(moved.job, now).holders, handover->from);
+  handover->from = moved.entry;
+  handover->requested_at = now;
   // An entry not heard from yet gets the time that any other one has.
   entry_heard_.try_emplace(moved.entry, now);
   if (const auto next = LinkOf(moved.entry)) {
@@ -112,7 +151,7 @@
       Send(*link, JobHandoverRequest{job});
     }
   }
-  for (const StepJobId& job : ended) EndHandover(job, now);
+  for (const StepJobId& job : ended) ContinueHandover(job, now);
 }
 
 void StepEntryNode::OnRelinquished(TimePoint now) {
@@ -121,7 +160,7 @@
     if (own == handovers_.end()) {
       SendHandedOver(job, now);
     } else if (own->second.from == options_.incarnation) {
-      EndHandover(job, now);
+      ContinueHandover(job, now);
     }
     // Otherwise the entry that had it before may still have runs of it.
   }
@@ -133,7 +172,8 @@
   const HandoverRequester requester = found->second;
   handover_requesters_.erase(found);
   KnownJob& known = KeepKnownJob(job, now);
-  known.entry = requester.entry;
+  std::erase(known.holders, requester.entry);
+  known.holders.push_back(requester.entry);
   known.successor = requester.entry;
   if (peers_.contains(requester.link)) Send(requester.link, JobHandedOver{job});
 }
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -69,7 +69,7 @@
   if (scheduler_.HasJob(id)) {
     // Resubmitted while the first submission is still in progress here.
     scheduler_.Relinquish(id, now);
-    handovers_.try_emplace(id, Handover{options_.incarnation, now});
+    handovers_.try_emplace(id, Handover{options_.incarnation, now, {}});
   }
   const bool held = handovers_.contains(id) || RequestHandover(id, now);
   const Duration caller_timeout =
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -116,7 +116,9 @@
   };
   /// A job that this or another entry has or had.
   struct KnownJob {
-    Incarnation entry;  ///< The other entry that announced it last, if any.
+    /// Other entries that announced it and have not said that no run of it is
+    /// left there; the newest announcement last.
+    std::vector<Incarnation> holders;
     TimePoint updated_at;
     /// To which this entry has handed the job over.
     std::optional<Incarnation> successor;
@@ -130,6 +132,8 @@
   struct Handover {
     Incarnation from;
     TimePoint requested_at;
+    /// Others that may have runs of it, to be asked after `from`.
+    std::vector<Incarnation> others;
   };
 
   void On(LinkId link, const Hello& hello, TimePoint now);
@@ -150,6 +154,12 @@
 
   void AbandonJobsAfterStandstill(TimePoint now);
   bool RequestHandover(const StepJobId& job, TimePoint now);
+  /// Goes on with the next entry that may have runs of the job, if any.
+  void ContinueHandover(const StepJobId& job, TimePoint now);
+  bool IsLost(Incarnation entry, TimePoint now) const;
+  Handover* FindHandover(const StepJobId& job, LinkId sender);
+  bool AskNextHolder(const StepJobId& job, std::vector<Incarnation> holders,
+                     TimePoint now);
   void CheckHandovers(TimePoint now);
   void EndHandover(const StepJobId& job, TimePoint now);
   void OnRelinquished(TimePoint now);
