--- a/src/worker/worker_session_crashes.cc
+++ b/src/worker/worker_session_crashes.cc
@@ -32,7 +32,8 @@
     attempt.crashed = true;
     if (attempt.started_at < suspected_from) continue;
     routes.insert(attempt.order.route);
-    suspects.push_back(attempt.order.run.task);
+    // An order without an answer may have come after the crash.
+    if (attempt.has_run) suspects.push_back(attempt.order.run.task);
   }
   std::string names;
   for (const std::string& route : routes) {
--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -89,8 +89,10 @@
     });
     return;
   }
-  At(now_ + kCallDelay, [this, execute, answer] {
-    const OrderOutcome outcome = execute();
+  At(now_ + kCallDelay, [this, index, execute, answer] {
+    const bool crashed =
+        agents_[static_cast<std::size_t>(index)]->worker_refuses;
+    const OrderOutcome outcome = crashed ? OrderOutcome{} : execute();
     At(now_ + kCallDelay, [answer, outcome] { answer(outcome); });
   });
 }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -338,6 +338,7 @@
   Advance(Duration(100));
   SendHeartbeats();
   session_.OnStartEnded(Order(kFirst, 2), AcceptedOrder(), now_);
+  session_.OnStartEnded(Order(kFirst, 3), OrderOutcome{}, now_);
   Advance(Duration(5));
   RefusePoll();
   CHECK(CountSent<WorkerCrashed>(kFirst) == 1);
@@ -359,7 +360,7 @@
       suspects = crash->suspects;
     }
   }
-  REQUIRE(ends.size() == 2);
+  REQUIRE(ends.size() == 3);
   CHECK(ends[1].end == AttemptEnd::kCrashed);
   CHECK(ends[2].end == AttemptEnd::kCrashed);
   REQUIRE(suspects.size() == 1);
