--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -129,9 +129,9 @@
 /// has crashed.
 struct WorkerCrashed {
   WorkerId worker;
-  /// Of the runs that had started shortly before: each is suspected of it.
+  /// Of the runs that were started shortly before.
   std::vector<std::string> routes;
-  std::vector<TaskName> suspects;
+  std::vector<TaskName> suspects;  ///< Those of them whose start was accepted.
 
   template <class A>
   void Fields(A& a) {
