--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -74,6 +74,11 @@
       if (IsReachableLate(index, life)) execute();
     });
   };
+  if (agent.worker_refuses) {
+    OrderOutcome refused;
+    refused.reply = OrderReply::kConnectionRefused;
+    return answer(now_ + kCallDelay, refused);
+  }
   const WorkerFaults& faults = agent.worker->faults();
   const bool unanswered = call_random_.Chance(faults.unanswered);
   const bool silent = faults.silent || now_ < agent.silent_until;
@@ -148,6 +153,11 @@
     // The connection broke with the worker.
     return answer(now_ + kCallDelay, PollOutcome{});
   }
+  if (agent.worker_refuses) {
+    PollOutcome refused;
+    refused.reply = OrderReply::kConnectionRefused;
+    return answer(now_ + kCallDelay, refused);
+  }
   const WorkerFaults& faults = agent.worker->faults();
   const bool silent = faults.silent || now_ < agent.silent_until;
   const bool unanswered = call_random_.Chance(faults.unanswered / 20);
