--- a/standins/step_simulator_calls.cc
+++ b/standins/step_simulator_calls.cc
@@ -100,7 +100,7 @@
       kCallDelay +
       Duration(static_cast<std::int64_t>(call_random_.Below(
           static_cast<std::size_t>(faults.answer_delay.ms()) + 1)));
-  At(now_ + kCallDelay, [this, index, incarnation, execute, answer, delay] {
+  At(now_ + kCallDelay, [this, index, execute, answer, delay] {
     if (!agents_[static_cast<std::size_t>(index)]->worker_alive) {
       return answer(now_ + kOrderTimeout, OrderOutcome{});
     }
