Add a failing test of entries cut from each other alone

Cause: not mended. A job that is sent again to an entry that cannot reach the first one, which has not noticed that its caller has gone, runs at both.

--- a/tests/step_simulator_incident_test.cc
+++ b/tests/step_simulator_incident_test.cc
@@ -66,5 +66,21 @@
   }
 }
 
+// Neither entry can tell this from the end of the other one.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with entries cut from each other alone and "
+                 "callers lost unnoticed, no task of a resubmitted job runs "
+                 "twice") {
+  StepSimulator simulator(OptionsWithoutLoad());
+  simulator.Run(TimePoint(1600));
+  simulator.SplitEntries({0}, Duration(6000));
+  LoadClass load_class = LongJob();
+  load_class.mean_work = Duration(4000);
+  for (int i = 0; i < 6; ++i) simulator.Submit(0, load_class);
+  simulator.At(TimePoint(1900), [&] { simulator.DropCallers(0); });
+  simulator.Run(TimePoint(9000));
+  CheckNoViolations(simulator);
+}
+
 }  // namespace
 }  // namespace geranium::standins
