--- a/src/entry/step_scheduler_crashes.cc
+++ b/src/entry/step_scheduler_crashes.cc
@@ -15,8 +15,8 @@
 constexpr std::size_t kIsolatedWorkerDivisor = 4;
 /// A job of an isolated route for which there is no room is refused after this
 /// long.
-constexpr char kGivenUpReason[] = "workers have crashed under a task";
 constexpr Duration kMaxIsolatedWait{30};
+constexpr char kGivenUpReason[] = "workers have crashed under a task";
 constexpr Duration kRetryAfter{1000};
 /// Tolerance for rounding in sums of CPU shares.
 constexpr double kCpuEpsilon = 1e-6;
