--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -285,8 +285,9 @@
                  "StepEntryNode that stood still for so long that another "
                  "entry may have taken its job over starts no task of it") {
   const bool tick_comes_first = GENERATE(true, false);
+  const std::int64_t standstill_ms = GENERATE(1000, 1500);
   Submit(1);
-  now_ = now_ + StepScheduler::kWorkerLostTimeout;
+  now_ = now_ + Duration(standstill_ms);
   if (tick_comes_first) Advance(Duration(1));
   ReportFreeWorker();
   CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
@@ -297,8 +298,9 @@
 TEST_CASE_METHOD(StepEntryNodeTest,
                  "StepEntryNode that stood still for a short while keeps its "
                  "jobs") {
+  const std::int64_t standstill_ms = GENERATE(500, 999);
   Submit(1);
-  now_ = now_ + Duration(500);
+  now_ = now_ + Duration(standstill_ms);
   ReportFreeWorker();
   CHECK_FALSE(AnswerTo(1).has_value());
 }
