--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -45,7 +45,8 @@
   std::uint64_t returned = 0;  ///< Orders returned without a start.
   std::uint64_t in_doubt = 0;
   std::uint64_t stalled = 0;
-  std::uint64_t moved = 0;  ///< Stopped in order to run on a faster worker.
+  std::uint64_t moved = 0;    ///< Stopped in order to run on a faster worker.
+  std::uint64_t crashes = 0;  ///< Of the backend server.
 };
 
 /// State machine of an agent whose backend server runs sized tasks under a
@@ -132,10 +133,12 @@
     bool has_run = false;
     bool speed_recorded = false;  ///< Its speed has been recorded.
     /// Only polls from this number on were sent after the answer to its start,
-    /// or to its stop once that is accepted; what earlier ones list or leave
-    /// out says nothing.
+    /// or to its stop once that is accepted. That an earlier one does not list
+    /// the run says nothing.
     std::uint64_t first_valid_poll = 0;
     bool stop_accepted = false;
+    bool crashed = false;  ///< Its worker crashed while it ran.
+    bool suspect = false;  ///< ... shortly after it had started.
     TimePoint stop_sent_at = TimePoint::Never();
     std::string stop_reason;
   };
@@ -171,6 +174,7 @@
 
   std::string RefusalReason(const Peer& peer, const Entry& entry,
                             const StartTask& order, TimePoint now) const;
+  bool IsExpired(const Attempt& queued, TimePoint now) const;
   void StartQueued(TimePoint now);
   void Start(Attempt& attempt, TimePoint now);
   void Stop(Attempt& attempt, const std::string& reason, TimePoint now);
@@ -188,6 +192,9 @@
   void BeginIncarnation(TimePoint now);
   void RaiseFencingToken();
   bool HasStartedAttempts() const;
+  void OnConnectionRefused(TimePoint now);
+  void DropOldCrashes(TimePoint now);
+  void SendRecentCrashes(LinkId link, TimePoint now);
   void PollIfDue(TimePoint now);
   void SendImmediatePoll(TimePoint now);
   void SendPoll(PollRuns poll, TimePoint now);
@@ -245,6 +252,10 @@
   TimePoint last_lost_answer_at_ = TimePoint::Never();
   TimePoint lease_end_ = TimePoint::Never();
   bool worker_silent_ = false;
+  bool crashed_ = false;  ///< Nothing listens at the worker's address.
+  std::vector<std::pair<TimePoint, WorkerCrashed>> recent_crashes_;
+  /// When the first answer since the last one received was lost.
+  std::optional<TimePoint> unanswered_since_;
   std::map<AttemptId, Attempt> attempts_;
   std::map<TaskRun, AttemptId> by_run_;
   std::map<TaskName, std::size_t> by_task_;
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -22,8 +22,8 @@
 
 // A new incarnation may have another capacity, kind and rack than the last one.
 bool WorkerSession::IsAccepting(TimePoint now) const {
-  return worker_ && IsAnnouncementCurrent() && settled_ && !worker_left_ &&
-         !leaving_ && !worker_->draining &&
+  return worker_ && IsAnnouncementCurrent() && settled_ && !crashed_ &&
+         !worker_left_ && !leaving_ && !worker_->draining &&
          now - last_answer_at_ < kWorkerTimeout;
 }
 
@@ -79,6 +79,15 @@
   StartQueued(now);
 }
 
+// Also of orders that the next tick is to return: their entry may have given
+// them up while this process stood still.
+bool WorkerSession::IsExpired(const Attempt& queued, TimePoint now) const {
+  const auto entry = entries_.find(queued.entry);
+  return now - queued.state_since > queued.order.max_wait ||
+         entry == entries_.end() ||
+         now - entry->second.last_alive_at > kEntryTimeout;
+}
+
 // By priority, then by age. Smaller tasks may overtake a large one at the head
 // only until its queue time limit, when it is returned to the entry.
 void WorkerSession::StartQueued(TimePoint now) {
@@ -92,7 +101,9 @@
            std::pair(b->order.priority, b->state_since);
   });
   for (Attempt* attempt : queue) {
-    if (HasCapacity(attempt->order.size)) Start(*attempt, now);
+    if (!IsExpired(*attempt, now) && HasCapacity(attempt->order.size)) {
+      Start(*attempt, now);
+    }
   }
 }
 
@@ -132,6 +143,7 @@
     case OrderReply::kNoAnswer:
       ++counters_.in_doubt;
       last_lost_answer_at_ = now;
+      if (!unanswered_since_) unanswered_since_ = now;
       attempt->state = State::kInDoubt;
       attempt->state_since = now;
       // Harmless if the order was not carried out, and prevents it from being
@@ -162,6 +174,10 @@
     case OrderReply::kOtherIncarnation:
       return_order(AttemptEnd::kNotStarted, "the worker has restarted");
       break;
+    case OrderReply::kConnectionRefused:
+      return_order(AttemptEnd::kNotStarted, "the worker refuses connections");
+      OnConnectionRefused(now);
+      break;
     case OrderReply::kMalformed:
       return_order(AttemptEnd::kNotStarted,
                    "rejected by the worker: " + outcome.message);
@@ -210,6 +226,9 @@
                         const std::string& reason, TimePoint now) {
   const auto found = attempts_.find(id);
   Attempt& attempt = found->second;
+  if (attempt.crashed && end == AttemptEnd::kStopped) {
+    end = AttemptEnd::kCrashed;
+  }
   if (attempt.state != State::kQueued) in_use_ -= attempt.order.size;
   by_run_.erase(attempt.order.run);
   if (--by_task_[attempt.order.run.task] == 0) {
--- a/standins/sized_worker.h
+++ b/standins/sized_worker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
   Resources size;
   std::string rack;
   bool fails = false;
+  bool crashes_worker = false;  ///< Shortly after its start.
 };
 
 /// Faults that can be injected into a worker.
@@ -29,6 +31,9 @@
   bool hangs = false;
   bool silent = false;  ///< Receives and answers no calls; tasks keep running.
   double unanswered = 0;  ///< Share of orders executed late, without answer.
+  Duration stop_time;     ///< From a stop until the run has ended.
+  Duration answer_delay;  ///< Longest extra delay of an answer to an order.
+  double late_announcements = 0;  ///< Share that arrives seconds late.
 };
 
 /// Model of a backend server that runs sized tasks under a lease and starts
@@ -38,6 +43,7 @@
   using FindBehaviour = std::function<TaskBehaviour(const TaskName&)>;
 
   static constexpr double kOtherRackFactor = 1.5;
+  static constexpr Duration kCrashDelay{10};
 
   SizedWorker(WorkerAnnouncement self, FindBehaviour find_behaviour);
 
@@ -51,10 +57,13 @@
   bool HasUnacknowledgedEnd(std::uint64_t acknowledged) const;
   void Advance(TimePoint now);
   /// Starts a new incarnation without the runs and tokens of the previous one.
-  void Restart(TimePoint now);
+  void Restart(TimePoint now, std::optional<Resources> capacity = {});
 
+  /// True once a run that crashes the worker has run for `kCrashDelay`.
+  bool HasCrashed() const;
   WorkerAnnouncement Announce(TimePoint now);
   WorkerFaults& faults() { return faults_; }
+  void SetCapacity(const Resources& capacity) { self_.capacity = capacity; }
   void SetDraining(bool draining) { self_.draining = draining; }
   std::vector<TaskRun> running() const;
   Resources in_use() const;
@@ -64,6 +73,7 @@
   struct Running {
     TaskBehaviour task;
     double done_ms = 0;
+    std::optional<TimePoint> stop_at;
   };
 
   void EndRun(const TaskRun& run, RunEnd end);
@@ -71,6 +81,7 @@
     return now.ms() - started_at_.ms();
   }
   bool IsLocal(const std::string& rack) const;
+  void ExtendLease(std::int64_t until_ms, TimePoint now);
 
   WorkerAnnouncement self_;
   FindBehaviour find_behaviour_;
