--- a/review/standins/review_site.cc
+++ b/review/standins/review_site.cc
@@ -370,12 +370,16 @@
 
 void Site::Spawn(const std::string& name, const std::string& program,
                  const std::string& settings) {
+  std::ofstream(folder_ + "/" + name + ".ini") << settings;
+  Launch(name, program);
+}
+
+void Site::Launch(const std::string& name, const std::string& program) {
   const std::string file = folder_ + "/" + name + ".ini";
-  std::ofstream(file) << settings;
   const std::string log = folder_ + "/" + name + ".log";
   const pid_t pid = fork();
   if (pid == 0) {
-    const int descriptor = open(log.c_str(), O_CREAT | O_WRONLY, 0644);
+    const int descriptor = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
     dup2(descriptor, 1);
     dup2(descriptor, 2);
     for (int other = 3; other < 1024; ++other) close(other);
@@ -552,6 +556,13 @@
   kill(processes_.at("entry-" + std::to_string(entry)), signal);
 }
 
+void Site::Restart(int entry) {
+  const std::string name = "entry-" + std::to_string(entry);
+  waitpid(processes_.at(name), nullptr, 0);
+  Launch(name, "target/geranium-entry");
+  recorder_.Write(name + " is started again");
+}
+
 std::string Site::NewJobId() {
   std::ostringstream id;
   id << std::hex << (0x5c0e7a2100000000ULL + ++next_job_);
--- a/review/standins/review_site.h
+++ b/review/standins/review_site.h
@@ -158,6 +158,8 @@
   /// One readiness check of the platform.
   asio::awaitable<bool> IsReady(int entry);
   void Signal(int entry, int signal);
+  /// Starts an entry again that was killed, with the settings it had.
+  void Restart(int entry);
   std::string NewJobId();
 
   asio::io_context& io() { return io_; }
@@ -175,6 +177,7 @@
   std::string FreeAddress();
   void Spawn(const std::string& name, const std::string& program,
              const std::string& settings);
+  void Launch(const std::string& name, const std::string& program);
   std::string Fill(const std::string& path,
                    const std::map<std::string, std::string>& values) const;
 
