--- a/review/standins/review_site.cc
+++ b/review/standins/review_site.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -34,6 +35,8 @@
 constexpr Milliseconds kStopMs = 20;          // below stop-timeout-ms, 50
 constexpr Milliseconds kHoldCheckMs = 2;
 constexpr int kWorkersPerRack = 3;
+constexpr int kFirstPort = 20'000;
+constexpr int kLastPort = 31'000;
 constexpr Milliseconds kReadyTimeoutMs = 15'000;
 
 std::string AddressOf(int port) {
@@ -343,12 +346,20 @@
   return code;
 }
 
+// Below the ports that the kernel gives to outgoing connections, which could
+// take one between this check and the start of the process that listens there.
 std::string Site::FreeAddress() {
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
   while (true) {
-    tcp::acceptor probe(io_, tcp::endpoint(
-                                 asio::ip::make_address("127.0.0.1"), 0));
-    const int port = probe.local_endpoint().port();
-    if (used_ports_.insert(port).second) return AddressOf(port);
+    const int port = ports(random_);
+    if (!used_ports_.insert(port).second) continue;
+    tcp::acceptor probe(io_);
+    boost::system::error_code error;
+    probe.open(tcp::v4());
+    probe.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                             static_cast<unsigned short>(port)),
+               error);
+    if (!error) return AddressOf(port);
   }
 }
 
@@ -379,6 +390,7 @@
   const std::string log = folder_ + "/" + name + ".log";
   const pid_t pid = fork();
   if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with this process.
     const int descriptor = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
     dup2(descriptor, 1);
     dup2(descriptor, 2);
--- a/review/standins/review_site.h
+++ b/review/standins/review_site.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -186,6 +187,7 @@
   SiteOptions options_;
   std::string folder_;
   std::set<int> used_ports_;
+  std::mt19937 random_{std::random_device{}()};
   std::map<std::string, pid_t> processes_;
   geranium::HttpClient client_;
   geranium::standins::PlatformStore store_;
