--- a/review/standins/cancel_after_retry.cc
+++ b/review/standins/cancel_after_retry.cc
@@ -41,14 +41,14 @@
     }
     co_await site_.Sleep(1000);
     if (is_over_) co_return 2;
-    const auto cancelled = co_await site_.Send(
-        site_.client(), site_.CancelCall(kFirst, job_));
+    const auto cancelled =
+        co_await site_.Send(site_.client(), site_.CancelCall(kFirst, job_));
     if (cancelled.failure != geranium::HttpFailure::kNone) co_return 2;
     cancelled_at_ = SteadyNow();
-    site_.recorder().Write(
-        "DELETE of job " + job_ + " at entry-" + std::to_string(kFirst) +
-        ": " + std::to_string(cancelled.response.status) + " " +
-        cancelled.response.body);
+    site_.recorder().Write("DELETE of job " + job_ + " at entry-" +
+                           std::to_string(kFirst) + ": " +
+                           std::to_string(cancelled.response.status) + " " +
+                           cancelled.response.body);
     const int status = cancelled.response.status;
     if (status != 410 && (status < 200 || status > 299)) co_return 2;
     co_await site_.Sleep(kCancelMs + 5000);
@@ -66,10 +66,9 @@
     ++starts_;
     if (!cancelled_at_ || SteadyNow() <= *cancelled_at_ + kCancelMs) return;
     ++late_starts_;
-    site_.recorder().Write(
-        "RULE BROKEN: " + run.task + " starts " +
-        std::to_string(SteadyNow() - *cancelled_at_) +
-        " ms after the answer to the cancelling");
+    site_.recorder().Write("RULE BROKEN: " + run.task + " starts " +
+                           std::to_string(SteadyNow() - *cancelled_at_) +
+                           " ms after the answer to the cancelling");
   }
 
   asio::awaitable<void> Submit() {
--- a/review/standins/cut_at_shutdown.cc
+++ b/review/standins/cut_at_shutdown.cc
@@ -23,9 +23,8 @@
   small.work_ms = 60;
   const auto first = co_await site.Send(
       client, site.SubmitCall(0, site.NewJobId(), small, 1500));
-  site.recorder().Write("first job: " +
-                        std::to_string(first.response.status) + " " +
-                        first.response.body + first.message);
+  site.recorder().Write("first job: " + std::to_string(first.response.status) +
+                        " " + first.response.body + first.message);
   if (first.response.status != 200) co_return 2;
 
   if (HasTrouble()) site.Signal(0, SIGTERM);
@@ -54,10 +53,9 @@
   const bool answered = second.failure == geranium::HttpFailure::kNone;
   site.recorder().Write(
       "job " + id + ": " +
-      (answered ? std::to_string(second.response.status) + " " +
-                      second.response.body
-                : "the channel ended without an answer (" + second.message +
-                      ")") +
+      (answered
+           ? std::to_string(second.response.status) + " " + second.response.body
+           : "the channel ended without an answer (" + second.message + ")") +
       ", " + std::to_string(ended) + " ms after the signal, " +
       std::to_string(starts) + " of its tasks were started");
   // Nothing of it was passed on: the request may not have been read.
--- a/review/standins/late_duplicate.cc
+++ b/review/standins/late_duplicate.cc
@@ -30,11 +30,10 @@
   const auto write = [&](const std::string& what,
                          const geranium::HttpOutcome& outcome) {
     const bool answered = outcome.failure == geranium::HttpFailure::kNone;
-    site.recorder().Write(
-        what + ": " +
-        (answered ? std::to_string(outcome.response.status) + " " +
-                        outcome.response.body
-                  : "no answer, " + outcome.message));
+    site.recorder().Write(what + ": " +
+                          (answered ? std::to_string(outcome.response.status) +
+                                          " " + outcome.response.body
+                                    : "no answer, " + outcome.message));
   };
   JobSpec job;
   job.steps = {{4, 3100, 64, 900}};
--- a/review/standins/review_site.cc
+++ b/review/standins/review_site.cc
@@ -30,18 +30,16 @@
 constexpr char kPrefix[] = "/desk/";
 const std::vector<std::string> kZones = {"budapest-a", "budapest-b", "gyor",
                                          "szeged"};
-constexpr Milliseconds kMaxHoldMs = 1000;     // max-hold-ms
-constexpr Milliseconds kHeartbeatMs = 1500;   // heartbeat-ms
-constexpr Milliseconds kStopMs = 20;          // below stop-timeout-ms, 50
+constexpr Milliseconds kMaxHoldMs = 1000;    // max-hold-ms
+constexpr Milliseconds kHeartbeatMs = 1500;  // heartbeat-ms
+constexpr Milliseconds kStopMs = 20;         // below stop-timeout-ms, 50
 constexpr Milliseconds kHoldCheckMs = 2;
 constexpr int kWorkersPerRack = 3;
 constexpr int kFirstPort = 20'000;
 constexpr int kLastPort = 31'000;
 constexpr Milliseconds kReadyTimeoutMs = 15'000;
 
-std::string AddressOf(int port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
+std::string AddressOf(int port) { return "127.0.0.1:" + std::to_string(port); }
 
 int PortOf(const std::string& address) {
   return std::stoi(address.substr(address.rfind(':') + 1));
@@ -100,9 +98,7 @@
   address_ = AddressOf(acceptor_.local_endpoint().port());
 }
 
-void Worker::Listen() {
-  asio::co_spawn(site_.io(), Accept(), asio::detached);
-}
+void Worker::Listen() { asio::co_spawn(site_.io(), Accept(), asio::detached); }
 
 void Worker::SendHeartbeats() {
   asio::co_spawn(site_.io(), Heartbeats(), asio::detached);
@@ -170,20 +166,20 @@
     call.method = "POST";
     call.target = "/-/Instances.Heartbeat/" + id_;
     call.timeout = geranium::Duration(1000);
-    call.body = Json{{"service", kService},
-                     {"address", address_},
-                     {"zone", zone_},
-                     {"version", "v1"},
-                     {"slots", 8},
-                     {"state", "ready"},
-                     {"cold-left-ms", 0},
-                     {"capacity",
-                      {{"cpu", cpu_}, {"mem-mb", memory_mb_}, {"gpu", 0}}},
-                     {"labels", {"a", rack_}},
-                     {"clock-ms", Clock()},
-                     {"born", born_unix_ms_},
-                     {"seq", ++sequence_}}
-                    .dump();
+    call.body =
+        Json{{"service", kService},
+             {"address", address_},
+             {"zone", zone_},
+             {"version", "v1"},
+             {"slots", 8},
+             {"state", "ready"},
+             {"cold-left-ms", 0},
+             {"capacity", {{"cpu", cpu_}, {"mem-mb", memory_mb_}, {"gpu", 0}}},
+             {"labels", {"a", rack_}},
+             {"clock-ms", Clock()},
+             {"born", born_unix_ms_},
+             {"seq", ++sequence_}}
+            .dump();
     const auto outcome = co_await site_.Send(site_.client(), call);
     const bool taken = outcome.failure == geranium::HttpFailure::kNone &&
                        outcome.response.status == 200;
@@ -227,6 +223,8 @@
   const auto token = body.value("fencing-token", std::uint64_t{0});
   if (token < fencing_token_) return Refuse("fence");
   fencing_token_ = token;
+  site_.recorder().Write(id_ + " is told to stop " + run.task + " run " +
+                         std::to_string(run.run));
   const auto found = running_.find(run);
   if (found != running_.end() && !found->second.stops_at) {
     found->second.stops_at = SteadyNow() + kStopMs;
@@ -245,15 +243,13 @@
     ExtendLease(body.at("deadline-ms").get<Milliseconds>());
   }
   const auto acknowledged = body.value("acked-through", std::uint64_t{0});
-  std::erase_if(ended_, [&](const End& end) {
-    return end.number <= acknowledged;
-  });
+  std::erase_if(ended_,
+                [&](const End& end) { return end.number <= acknowledged; });
   const Milliseconds until =
       SteadyNow() + body.value("wait-ms", Milliseconds{0});
   while (true) {
     Advance();
-    const bool has_end =
-        !ended_.empty() && ended_.back().number > acknowledged;
+    const bool has_end = !ended_.empty() && ended_.back().number > acknowledged;
     if (has_end || SteadyNow() >= until) break;
     co_await site_.Sleep(kHoldCheckMs);
   }
@@ -268,12 +264,11 @@
     if (end.number <= acknowledged) continue;
     finished.push_back({end.number, end.run.task, end.run.run, end.how, ""});
   }
-  co_return std::pair<int, std::string>{
-      200, Json{{"clock-ms", Clock()},
-                {"born", born_unix_ms_},
-                {"running", running},
-                {"finished", finished}}
-               .dump()};
+  co_return std::pair<int, std::string>{200, Json{{"clock-ms", Clock()},
+                                                  {"born", born_unix_ms_},
+                                                  {"running", running},
+                                                  {"finished", finished}}
+                                                 .dump()};
 }
 
 void Worker::Finish(const RunName& run, const std::string& how) {
@@ -301,9 +296,8 @@
 }
 
 bool Worker::IsRunning(const std::string& task) const {
-  return std::any_of(running_.begin(), running_.end(), [&](const auto& item) {
-    return item.first.task == task;
-  });
+  return std::any_of(running_.begin(), running_.end(),
+                     [&](const auto& item) { return item.first.task == task; });
 }
 
 // ---- site
@@ -391,7 +385,8 @@
   const pid_t pid = fork();
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with this process.
-    const int descriptor = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+    const int descriptor =
+        open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
     dup2(descriptor, 1);
     dup2(descriptor, 2);
     for (int other = 3; other < 1024; ++other) close(other);
@@ -531,10 +526,11 @@
   call.target = kPrefix + job;
   call.headers["Host"] = kHost;
   call.headers["Request-Deadline"] = std::to_string(deadline_ms);
-  call.body = Json{{"spec", "work=" + std::to_string(spec.work_ms)},
-                   {"best-effort", true},
-                   {"steps", steps}}
-                  .dump();
+  call.body = Json{
+      {"spec", "work=" + std::to_string(spec.work_ms)},
+      {"best-effort", true},
+      {"steps",
+       steps}}.dump();
   call.timeout = geranium::Duration(deadline_ms);
   call.retry_on_broken_connection = false;
   return call;
@@ -558,8 +554,8 @@
   call.timeout = geranium::Duration(500);
   call.use_new_connection = true;
   const auto outcome = co_await Send(client_, call);
-  co_return outcome.failure == geranium::HttpFailure::kNone &&
-      outcome.response.status == 200;
+  co_return outcome.failure ==
+      geranium::HttpFailure::kNone&& outcome.response.status == 200;
 }
 
 void Site::Signal(int entry, int signal) {
--- a/review/standins/review_site.h
+++ b/review/standins/review_site.h
@@ -16,9 +16,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform_store.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "standins/platform_store.h"
 
 // A small deployment on loopback: the project's programs as separate processes,
 // and stand-ins for workers, the platform and clients.
--- a/review/standins/stops_refused.cc
+++ b/review/standins/stops_refused.cc
@@ -1,6 +1,6 @@
 // Case: one worker of eleven answers 503 to all orders for a while; its list of
-// runs is served, and what runs there goes on. Meanwhile an entry is killed, and
-// its callers send their jobs again to the others.
+// runs is served, and what runs there goes on. Meanwhile an entry is killed,
+// and its callers send their jobs again to the others.
 
 #include <csignal>
 
@@ -74,15 +74,16 @@
     job.work_ms = kWorkMs;
     for (int attempt = 0; attempt < 2; ++attempt) {
       const int entry = kEntry + attempt;
+      site_.recorder().Write("sends job " + id + " to entry-" +
+                             std::to_string(entry));
       const auto outcome = co_await site_.Send(
           site_.client(), site_.SubmitCall(entry, id, job, kDeadlineMs));
       const bool answered = outcome.failure == geranium::HttpFailure::kNone;
       const int status = answered ? outcome.response.status : 0;
-      site_.recorder().Write("job " + id + " at entry-" +
-                             std::to_string(entry) + ": " +
-                             std::to_string(status) + " " +
-                             (answered ? outcome.response.body
-                                       : outcome.message));
+      site_.recorder().Write(
+          "job " + id + " at entry-" + std::to_string(entry) + ": " +
+          std::to_string(status) + " " +
+          (answered ? outcome.response.body : outcome.message));
       if (status == 200) ++completed_;
       if (status != 0 && status != 502 && status != 504) co_return;
       co_await site_.Sleep(kResendMs);
--- a/review/standins/unhealthy_worker.cc
+++ b/review/standins/unhealthy_worker.cc
@@ -39,10 +39,10 @@
     co_await site_.Sleep(kCalmMs);
     submitting_ = false;
     co_await site_.Sleep(kDeadlineMs + kResendMs);
-    site_.recorder().Write(
-        std::to_string(starts_) + " starts, " + std::to_string(completed_) +
-        " jobs completed, " + std::to_string(violations_) +
-        " starts of a task that was running");
+    site_.recorder().Write(std::to_string(starts_) + " starts, " +
+                           std::to_string(completed_) + " jobs completed, " +
+                           std::to_string(violations_) +
+                           " starts of a task that was running");
     if (completed_ == 0) co_return 2;
     co_return violations_ > 0 ? 1 : 0;
   }
@@ -83,15 +83,16 @@
     job.work_ms = 200;
     for (int attempt = 0; attempt < 2; ++attempt) {
       const int entry = (number + attempt) % 4;
+      site_.recorder().Write("sends job " + id + " to entry-" +
+                             std::to_string(entry));
       const auto outcome = co_await site_.Send(
           site_.client(), site_.SubmitCall(entry, id, job, kDeadlineMs));
       const bool answered = outcome.failure == geranium::HttpFailure::kNone;
       const int status = answered ? outcome.response.status : 0;
-      site_.recorder().Write("job " + id + " at entry-" +
-                             std::to_string(entry) + ": " +
-                             std::to_string(status) + " " +
-                             (answered ? outcome.response.body
-                                       : outcome.message));
+      site_.recorder().Write(
+          "job " + id + " at entry-" + std::to_string(entry) + ": " +
+          std::to_string(status) + " " +
+          (answered ? outcome.response.body : outcome.message));
       if (status == 200) ++completed_;
       if (status != 0 && status != 502 && status != 504) co_return;
       co_await site_.Sleep(kResendMs);
