Resend the stop of a start in doubt soon after a rejection

Cause: a stop that was answered 429 or 503 was sent again only after 60 ms, the time for one that was not answered. Now it is sent again after 10 ms.

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -137,7 +137,7 @@
   ExpireQueued(now);
   for (auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kStopping && !attempt.stop_accepted &&
-        now - attempt.stop_sent_at > kStopRetryInterval) {
+        now > attempt.next_stop) {
       SendStop(attempt, now);
     }
   }
@@ -161,7 +161,7 @@
       next = std::min(next, attempt.state_since + attempt.order.max_wait);
     } else if (attempt.state == State::kStopping) {
       if (attempt.stop_accepted) continue;  // A poll shows its end.
-      next = std::min(next, attempt.stop_sent_at + kStopRetryInterval);
+      next = std::min(next, attempt.next_stop);
       continue;
     }
     const auto entry = entries_.find(attempt.entry);
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -74,6 +74,9 @@
   /// An unanswered stop is resent after this long; an answer from the same
   /// machine takes a few milliseconds.
   static constexpr Duration kStopRetryInterval{60};
+  /// A stop that the worker rejected is resent after this long. Until one is
+  /// accepted, a start in doubt holds its capacity and its task.
+  static constexpr Duration kRejectedStopRetryInterval{10};
   /// Without an answer for this long the lease is not renewed, so that the time
   /// by which all runs must have ended is known.
   static constexpr Duration kWorkerTimeout{400};
@@ -145,7 +148,7 @@
     bool stop_accepted = false;
     bool crashed = false;  ///< Its worker crashed while it ran.
     bool suspect = false;  ///< ... shortly after it had started.
-    TimePoint stop_sent_at = TimePoint::Never();
+    TimePoint next_stop = TimePoint::Never();  ///< When to resend the stop.
     std::string stop_reason;
   };
 
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -222,7 +222,7 @@
 }
 
 void WorkerSession::SendStop(Attempt& attempt, TimePoint now) {
-  attempt.stop_sent_at = now;
+  attempt.next_stop = now + kStopRetryInterval;
   actions_.emplace_back(
       StopRun{worker_->id, attempt.order.run, fencing_token_});
 }
@@ -236,6 +236,9 @@
     attempt->stop_accepted = true;
     attempt->first_valid_poll = next_poll_number_;
     if (!attempt->has_run) SendImmediatePoll(now);
+  } else if (outcome.reply == OrderReply::kUnhealthy) {
+    attempt->next_stop =
+        std::min(attempt->next_stop, now + kRejectedStopRetryInterval);
   }
 }
 
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -198,8 +198,7 @@
     attempt.state = State::kRunning;
     attempt.state_since = now;
     attempt.first_valid_poll = next_poll_number_;
-  } else if (attempt.state == State::kStopping &&
-             now - attempt.stop_sent_at > kStopRetryInterval) {
+  } else if (attempt.state == State::kStopping && now > attempt.next_stop) {
     SendStop(attempt, now);
   }
 }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -97,6 +97,23 @@
   CHECK(session_.in_use().cpu == 0);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose worker rejects the stop of a start in "
+                 "doubt sends it again within a few milliseconds") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, OrderOutcome{}, now_);
+  Tick();
+  actions_.clear();
+  OrderOutcome rejected;
+  rejected.reply = OrderReply::kUnhealthy;
+  session_.OnStopEnded(run, rejected, now_);
+  Tick();
+  CHECK(CountActions<StopRun>() == 0);
+  Advance(WorkerSession::kRejectedStopRetryInterval + Duration(1));
+  CHECK(CountActions<StopRun>() == 1);
+}
+
 TEST_CASE_METHOD(WorkerSessionTest,
                  "WorkerSession with a start order sent twice and its second "
                  "copy accepted runs it") {
