Start orders though a run whose end is known is listed late

An answer to a poll may be overtaken by the answer to a later one.

Ends are remembered for a second. A run that has ended never starts there again, so it is safe to pass it over. The test fails without the check (a trial).

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -77,6 +77,7 @@
   worker_left_ = false;
   acknowledged_end_ = 0;
   unknown_runs_.clear();
+  ended_runs_.clear();
   run_statistics_ = RunStatistics();
   worker_silent_ = false;
   last_answer_at_ = now;
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -200,6 +200,7 @@
                        TimePoint now);
   void ReconcileUnlisted(Attempt& attempt, std::uint64_t poll, TimePoint now);
   void StopUnknownRuns(const PollOutcome& outcome, TimePoint now);
+  void ForgetEndedRuns(TimePoint now);
   void UpdateIncarnation(std::uint64_t started_ms, TimePoint now);
   void BeginIncarnation(TimePoint now);
   void RaiseFencingToken();
@@ -274,6 +275,7 @@
   std::map<TaskRun, AttemptId> by_run_;
   std::map<TaskName, std::size_t> by_task_;
   std::map<TaskRun, TimePoint> unknown_runs_;  ///< When a stop was last sent.
+  std::map<TaskRun, TimePoint> ended_runs_;    ///< Those that ended lately.
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, Entry> entries_;
   EntrySelection selection_;
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -37,6 +37,8 @@
 /// Clock drift allowance: a lease may last longer on the server's clock.
 constexpr std::int64_t kClockDriftPercent = 2;
 constexpr Duration kLeaseMargin{30};
+/// Well above the time until an unanswered poll is given up.
+constexpr Duration kEndedRunRetention{1000};
 
 }  // namespace
 
@@ -129,6 +131,7 @@
   HandleEndedRuns(outcome, now);
   ReconcileAttempts(outcome, number, now);
   StopUnknownRuns(outcome, now);
+  ForgetEndedRuns(now);
   MeasureAndStopSlowRuns(now);
   StopStalled(now);
   StartQueued(now);
@@ -139,6 +142,7 @@
     if (ended.number <= acknowledged_end_) continue;
     acknowledged_end_ = ended.number;
     unknown_runs_.erase(ended.run);
+    ended_runs_[ended.run] = now;
     Attempt* attempt = FindByRun(ended.run);
     if (attempt == nullptr) continue;
     const AttemptId id = attempt->order.attempt;
@@ -229,6 +233,8 @@
   std::set<TaskRun> seen;
   for (const ListedRun& listed : outcome.running) {
     if (by_run_.contains(listed.run)) continue;
+    // Listed before it ended: answers may overtake each other.
+    if (ended_runs_.contains(listed.run)) continue;
     seen.insert(listed.run);
     const auto [found, is_new] =
         unknown_runs_.try_emplace(listed.run, TimePoint::Never());
@@ -249,6 +255,12 @@
   settled_ = settled;
 }
 
+void WorkerSession::ForgetEndedRuns(TimePoint now) {
+  std::erase_if(ended_runs_, [&](const auto& ended) {
+    return now - ended.second > kEndedRunRetention;
+  });
+}
+
 void WorkerSession::ExpireLease(TimePoint now) {
   if (!worker_ || lease_end_ == TimePoint::Never()) return;
   if (now - last_answer_at_ < kWorkerTimeout) return;
--- a/tests/worker_session_polls_test.cc
+++ b/tests/worker_session_polls_test.cc
@@ -223,5 +223,31 @@
   CHECK(session_.in_use().cpu == 8);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession shown a run by an answer that was overtaken by "
+                 "the one with its end goes on starting orders") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  const TaskRun in_doubt = Order(kFirst, 2);
+  Tick();
+  session_.OnStartEnded(in_doubt, OrderOutcome{}, now_);
+  const std::uint64_t long_poll = polls_.back().number;
+  session_.OnStopEnded(in_doubt, AcceptedOrder(), now_);
+  Tick();
+  PollOutcome newer = AcceptedPoll();
+  newer.ended.push_back({1, run, RunEnd::kDone});
+  session_.OnPollEnded(polls_.back().number, newer, now_);
+  Tick();
+  actions_.clear();
+  PollOutcome overtaken = AcceptedPoll();
+  overtaken.running.push_back({run, 90});
+  session_.OnPollEnded(long_poll, overtaken, now_);
+  (void)Order(kSecond, 3);
+  Tick();
+  CHECK(CountActions<StopRun>() == 0);
+  CHECK(CountActions<StartRun>() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
