Query who has a job after a standstill in place of waiting

Callers of fresh jobs at an entry that had stood still waited until entries that stood still themselves counted as lost, and mostly got 504: such an entry asked every other one for each job, one after another.

It now queries all that it has not caught up with, and three others, at once. An entry that has missed nothing speaks for those that do not answer: they announce nothing while they stand still. A job that nobody has is then as fresh as at any other entry, and may be refused as not run.

job_sent_again is logged only where another entry is known to have the job.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -4,12 +4,6 @@
 #include "entry/step_entry_node.h"
 
 namespace geranium {
-namespace {
-
-/// An unanswered handover request is sent again after this long.
-constexpr Duration kHandoverRetryInterval{300};
-
-}  // namespace
 
 bool StepEntryNode::IsLost(Incarnation entry, TimePoint now) const {
   const auto heard = entry_heard_.find(entry);
@@ -17,28 +11,31 @@
          now - heard->second > StepScheduler::kWorkerLostTimeout;
 }
 
-bool StepEntryNode::RequestHandover(const StepJobId& job, TimePoint now) {
-  std::vector<Incarnation> holders(unread_entries_.begin(),
-                                   unread_entries_.end());
-  const auto known = known_jobs_.find(job);
-  if (known != known_jobs_.end()) {
-    known->second.successor.reset();
-    for (const Incarnation entry : known->second.holders) {
-      std::erase(holders, entry);
-      holders.push_back(entry);
-    }
+bool StepEntryNode::BeginHandover(const StepJobId& job, TimePoint now) {
+  Handover handover;
+  handover.is_query_due = !UnreadEntries(now).empty();
+  handover.is_first = !known_jobs_.contains(job);
+  if (!handover.is_first) {
+    KnownJob& known = known_jobs_.at(job);
+    known.successor.reset();
+    handover.others = known.holders;
   }
-  return AskNextHolder(job, std::move(holders), now);
+  if (AskNextHolder(job, handover, now)) return true;
+  if (!handover.is_query_due) return false;
+  BeginQuery(job, std::move(handover), now);
+  return true;
 }
 
-bool StepEntryNode::AskNextHolder(const StepJobId& job,
-                                  std::vector<Incarnation> holders,
+bool StepEntryNode::AskNextHolder(const StepJobId& job, Handover handover,
                                   TimePoint now) {
+  std::vector<Incarnation>& holders = handover.others;
   std::erase_if(holders, [&](Incarnation entry) { return IsLost(entry, now); });
   if (holders.empty()) return false;
   const Incarnation newest = holders.back();
   holders.pop_back();
-  handovers_[job] = Handover{newest, now, std::move(holders)};
+  handover.from = newest;
+  handover.requested_at = now;
+  handovers_[job] = std::move(handover);
   if (const auto link = LinkOf(newest)) Send(*link, JobHandoverRequest{job});
   Log(LogLevel::kInfo, "job_sent_again",
       {{"job", job.value()}, {"held_by", ToString(newest)}});
@@ -46,12 +43,17 @@
 }
 
 void StepEntryNode::ContinueHandover(const StepJobId& job, TimePoint now) {
-  const Handover handover = handovers_.at(job);
+  Handover handover = handovers_.at(job);
   const auto known = known_jobs_.find(job);
   if (known != known_jobs_.end()) {
-    std::erase(known->second.holders, handover.from);
+    std::erase(known->second.holders, *handover.from);
+  }
+  if (AskNextHolder(job, handover, now)) return;
+  if (handover.is_query_due) {
+    BeginQuery(job, std::move(handover), now);
+  } else {
+    EndHandover(job, false, now);
   }
-  if (!AskNextHolder(job, handover.others, now)) EndHandover(job, now);
 }
 
 // An entry that has got the job later than this one asks it for the job, which
@@ -131,7 +133,7 @@
 void StepEntryNode::On(LinkId link, const JobMoved& moved, TimePoint now) {
   Handover* handover = FindHandover(moved.job, link);
   if (handover == nullptr) return;
-  std::erase(KeepKnownJob(moved.job, now).holders, handover->from);
+  std::erase(KeepKnownJob(moved.job, now).holders, *handover->from);
   handover->from = moved.entry;
   handover->requested_at = now;
   // An entry not heard from yet gets the time that any other one has.
@@ -141,9 +143,10 @@
   }
 }
 
-void StepEntryNode::EndHandover(const StepJobId& job, TimePoint now) {
+void StepEntryNode::EndHandover(const StepJobId& job, bool is_first,
+                                TimePoint now) {
   handovers_.erase(job);
-  scheduler_.Release(job, now);
+  scheduler_.Release(job, is_first, now);
   if (!scheduler_.HasJob(job)) SendHandedOver(job, now);
 }
 
@@ -152,11 +155,12 @@
 // that is cut off from this entry alone still sends them: if it has not noticed
 // that its caller disconnected, a task may run at both (docs/PLATFORM.md).
 void StepEntryNode::CheckHandovers(TimePoint now) {
+  CheckQueries(now);
   std::vector<StepJobId> ended;
   for (auto& [job, handover] : handovers_) {
-    if (handover.from == options_.incarnation) continue;
-    const std::optional<LinkId> link = LinkOf(handover.from);
-    const Duration silence = now - entry_heard_[handover.from];
+    if (!handover.from || handover.from == options_.incarnation) continue;
+    const std::optional<LinkId> link = LinkOf(*handover.from);
+    const Duration silence = now - entry_heard_[*handover.from];
     if (silence > StepScheduler::kWorkerLostTimeout) {
       ended.push_back(job);
     } else if (link && now - handover.requested_at > kHandoverRetryInterval) {
@@ -172,6 +176,7 @@
 void StepEntryNode::ResendHandoverRequests(LinkId link, Incarnation entry,
                                            TimePoint now) {
   for (auto& [job, handover] : handovers_) {
+    if (handover.queried.contains(entry)) SendQuery(job, entry, now);
     if (handover.from != entry) continue;
     handover.requested_at = now;
     Send(link, JobHandoverRequest{job});
--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -81,6 +81,7 @@
   std::vector<StepJobId> known;
   for (const auto& [job, state] : known_jobs_) known.push_back(job);
   for (const StepJobId& job : known) KeepKnownJob(job, now);
+  RestartQueries(now);
   Log(LogLevel::kWarning, "stood_still",
       {{"standstill_ms", std::to_string((now - last_active).ms())},
        {"abandoned_jobs", std::to_string(abandoned)}});
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -48,7 +48,8 @@
     actions_.emplace_back(
         AnswerStepJob{caller, answer, kRetryAfterStart, reason});
   };
-  const bool may_have_run = scheduler_.HasJob(id) || known_jobs_.contains(id);
+  const bool may_have_run = scheduler_.HasJob(id) || known_jobs_.contains(id) ||
+                            !UnreadEntries(now).empty();
   const StepAnswer refusal =
       may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
   if (!has_table()) {
@@ -76,7 +77,7 @@
     scheduler_.Relinquish(id, now);
     handovers_.try_emplace(id, Handover{options_.incarnation, now, {}});
   }
-  const bool held = handovers_.contains(id) || RequestHandover(id, now);
+  const bool held = handovers_.contains(id) || BeginHandover(id, now);
   const Duration caller_timeout =
       submission.caller_timeout.value_or(kDefaultCallerTimeout);
   scheduler_.Submit(caller, std::move(submission.job), *route, caller_timeout,
@@ -214,15 +215,19 @@
   for (const auto& [link, peer] : peers_) Send(link, members);
 }
 
-void StepEntryNode::On(LinkId link, const Heartbeat& heartbeat,
-                       TimePoint /*now*/) {
+void StepEntryNode::On(LinkId link, const Heartbeat& heartbeat, TimePoint now) {
   Peer& peer = peers_[link];
+  const bool from_entry = peer.hello && peer.hello->role == ProcessRole::kEntry;
+  // An entry that has just been linked, or stood still, waits for the echo.
+  const bool awaits_echo =
+      from_entry && (!peer.newest_sent_at ||
+                     heartbeat.sent_at - *peer.newest_sent_at > kMaxStandstill);
   peer.newest_sent_at = heartbeat.sent_at;
+  if (awaits_echo) SendHeartbeat(link, peer, now);
   // Sent after all that it had sent before.
   if (peer.hello && heartbeat.echo && *heartbeat.echo >= standstill_end_) {
     unread_entries_.erase(peer.hello->incarnation);
   }
-  const bool from_entry = peer.hello && peer.hello->role == ProcessRole::kEntry;
   const bool behind = heartbeat.version.value() > table_.offset.value();
   if (!from_entry || !behind || peer.pull_sent) return;
   peer.pull_sent = true;
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -51,6 +51,8 @@
   static constexpr Duration kAnnouncementSpacing{5};
   /// A link on which nothing was received for this long is closed.
   static constexpr Duration kLinkTimeout{800};
+  /// An unanswered handover request or query is sent again after this long.
+  static constexpr Duration kHandoverRetryInterval{300};
   /// A job is announced again each time it has been open for this long.
   static constexpr Duration kReannounceInterval{2500};
   /// How long a job is remembered after its last announcement, or its answer
@@ -142,12 +144,20 @@
     Incarnation entry;
     LinkId link;
   };
-  /// A job held here until `from` has no run of it left.
+  /// A job held here until no other entry has a run of it left.
   struct Handover {
-    Incarnation from;
+    /// Asked to give the job up; unset while it is queried who has the job.
+    std::optional<Incarnation> from;
     TimePoint requested_at;
     /// Others that may have runs of it, to be asked after `from`.
     std::vector<Incarnation> others;
+    /// Entries not caught up with are queried once `others` have been asked.
+    bool is_query_due = false;
+    /// Those that have not answered the query yet.
+    std::set<Incarnation> queried = {};
+    /// One that knows what all entries have open has answered it.
+    bool is_vouched_for = false;
+    bool is_first = false;  ///< Nothing was known of the job before.
   };
 
   void On(LinkId link, const Hello& hello, TimePoint now);
@@ -159,6 +169,8 @@
   void On(LinkId link, const JobHandoverRequest& request, TimePoint now);
   void On(LinkId link, const JobHandedOver& handed, TimePoint now);
   void On(LinkId link, const JobMoved& moved, TimePoint now);
+  void On(LinkId link, const JobHoldersQuery& query, TimePoint now);
+  void On(LinkId link, const JobHolders& holders, TimePoint now);
   void On(LinkId link, const JobsCancelled& cancelled, TimePoint now);
   void On(LinkId link, const WorkerCard& card, TimePoint now);
   void On(LinkId link, const WorkerReport& report, TimePoint now);
@@ -169,17 +181,26 @@
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
   void AbandonJobsAfterStandstill(TimePoint now);
-  bool RequestHandover(const StepJobId& job, TimePoint now);
+  /// Returns false if no other entry can have runs of the job.
+  bool BeginHandover(const StepJobId& job, TimePoint now);
+  void BeginQuery(const StepJobId& job, Handover handover, TimePoint now);
+  std::set<Incarnation> ChooseVouchers(const StepJobId& job) const;
+  std::vector<Incarnation> HoldersOf(const StepJobId& job, TimePoint now) const;
+  std::set<Incarnation> UnreadEntries(TimePoint now) const;
+  bool KnowsAllHolders(TimePoint now) const;
+  void EndQueryIfDone(const StepJobId& job, TimePoint now);
   /// Goes on with the next entry that may have runs of the job, if any.
   void ContinueHandover(const StepJobId& job, TimePoint now);
   bool IsLost(Incarnation entry, TimePoint now) const;
   Handover* FindHandover(const StepJobId& job, LinkId sender);
-  bool AskNextHolder(const StepJobId& job, std::vector<Incarnation> holders,
-                     TimePoint now);
+  bool AskNextHolder(const StepJobId& job, Handover handover, TimePoint now);
   void OnOtherHolder(const StepJobId& job, Incarnation entry, TimePoint now);
   void CheckHandovers(TimePoint now);
+  void CheckQueries(TimePoint now);
+  void RestartQueries(TimePoint now);
   void ResendHandoverRequests(LinkId link, Incarnation entry, TimePoint now);
-  void EndHandover(const StepJobId& job, TimePoint now);
+  void EndHandover(const StepJobId& job, bool is_first, TimePoint now);
+  void SendQuery(const StepJobId& job, Incarnation entry, TimePoint now);
   void OnRelinquished(TimePoint now);
   void SendHandedOver(const StepJobId& job, TimePoint now);
   std::optional<Incarnation> SuccessorOf(const StepJobId& job) const;
--- /dev/null
+++ b/src/entry/step_entry_queries.cc
@@ -0,0 +1,163 @@
+#include <algorithm>
+#include <utility>
+
+#include "entry/step_entry_node.h"
+
+// An entry that stood still has missed announcements. Until it has caught up
+// with all others it asks them of each job.
+
+namespace geranium {
+namespace {
+
+/// Entries that can answer have done so this long after a standstill. The
+/// others stand still themselves or are cut off.
+constexpr Duration kCatchUpTime{50};
+/// Entries asked besides those that this one has not caught up with.
+constexpr std::size_t kVouchers = 3;
+/// A process that has run for this long is linked to all others.
+constexpr Duration kEntryDiscoveryTime{3000};
+
+}  // namespace
+
+std::set<Incarnation> StepEntryNode::UnreadEntries(TimePoint now) const {
+  std::set<Incarnation> unread = unread_entries_;
+  std::erase_if(unread, [&](Incarnation entry) { return IsLost(entry, now); });
+  return unread;
+}
+
+bool StepEntryNode::KnowsAllHolders(TimePoint now) const {
+  return first_tick_ && now - *first_tick_ >= kEntryDiscoveryTime &&
+         UnreadEntries(now).empty();
+}
+
+// Different ones for different jobs.
+std::set<Incarnation> StepEntryNode::ChooseVouchers(
+    const StepJobId& job) const {
+  std::set<Incarnation> chosen;
+  const Incarnation first(std::hash<StepJobId>()(job));
+  auto next = entry_links_.lower_bound(first);
+  for (std::size_t i = 0; i < entry_links_.size(); ++i, ++next) {
+    if (next == entry_links_.end()) next = entry_links_.begin();
+    if (!unread_entries_.contains(next->first)) chosen.insert(next->first);
+    if (chosen.size() == kVouchers) break;
+  }
+  return chosen;
+}
+
+void StepEntryNode::BeginQuery(const StepJobId& job, Handover handover,
+                               TimePoint now) {
+  handover.from.reset();
+  handover.is_query_due = false;
+  handover.requested_at = now;
+  handover.queried = UnreadEntries(now);
+  handover.queried.merge(ChooseVouchers(job));
+  for (const Incarnation entry : handover.queried) SendQuery(job, entry, now);
+  Log(LogLevel::kInfo, "job_holders_queried",
+      {{"job", job.value()},
+       {"entries", std::to_string(handover.queried.size())}});
+  handovers_[job] = std::move(handover);
+}
+
+void StepEntryNode::SendQuery(const StepJobId& job, Incarnation entry,
+                              TimePoint now) {
+  if (const auto link = LinkOf(entry)) Send(*link, JobHoldersQuery{job, now});
+}
+
+std::vector<Incarnation> StepEntryNode::HoldersOf(const StepJobId& job,
+                                                  TimePoint now) const {
+  std::vector<Incarnation> holders;
+  const auto known = known_jobs_.find(job);
+  if (known != known_jobs_.end()) holders = known->second.holders;
+  std::erase_if(holders, [&](Incarnation entry) { return IsLost(entry, now); });
+  if (const auto successor = SuccessorOf(job)) {
+    std::erase(holders, *successor);
+    holders.push_back(*successor);
+  }
+  if (scheduler_.MayHaveRuns(job) || handovers_.contains(job)) {
+    holders.push_back(options_.incarnation);
+  }
+  return holders;
+}
+
+void StepEntryNode::On(LinkId link, const JobHoldersQuery& query,
+                       TimePoint now) {
+  const Peer& peer = peers_[link];
+  if (!peer.hello) return;
+  const Incarnation requester = peer.hello->incarnation;
+  std::vector<Incarnation> holders = HoldersOf(query.job, now);
+  std::erase(holders, requester);
+  Send(link, JobHolders{query.job, query.sent_at, std::move(holders),
+                        KnowsAllHolders(now)});
+  std::vector<Incarnation>& known = KeepKnownJob(query.job, now).holders;
+  std::erase(known, requester);
+  known.push_back(requester);
+}
+
+void StepEntryNode::On(LinkId link, const JobHolders& holders, TimePoint now) {
+  const Peer& peer = peers_[link];
+  if (!peer.hello || holders.query_sent_at < standstill_end_) return;
+  const Incarnation sender = peer.hello->incarnation;
+  // What it sent before has been read.
+  unread_entries_.erase(sender);
+  const auto found = handovers_.find(holders.job);
+  if (found == handovers_.end() || found->second.from) return;
+  Handover& handover = found->second;
+  if (handover.queried.erase(sender) == 0) return;
+  for (const Incarnation entry : holders.entries) {
+    if (entry == options_.incarnation) continue;
+    // One not heard from yet gets the time that any other one has.
+    entry_heard_.try_emplace(entry, now);
+    std::erase(handover.others, entry);
+    handover.others.push_back(entry);
+  }
+  if (holders.knows_all) handover.is_vouched_for = true;
+  EndQueryIfDone(holders.job, now);
+}
+
+void StepEntryNode::EndQueryIfDone(const StepJobId& job, TimePoint now) {
+  Handover& handover = handovers_.at(job);
+  std::erase_if(handover.queried,
+                [&](Incarnation entry) { return IsLost(entry, now); });
+  const bool caught_up = now - standstill_end_ >= kCatchUpTime;
+  const bool vouched_for = handover.is_vouched_for && caught_up;
+  if (!handover.queried.empty() && !vouched_for) return;
+  // One that has asked for the job meanwhile gets it from here.
+  if (const auto requester = handover_requesters_.find(job);
+      requester != handover_requesters_.end()) {
+    std::erase(handover.others, requester->second.entry);
+  }
+  const bool is_first = handover.is_first && handover.others.empty();
+  handover.queried.clear();
+  if (!AskNextHolder(job, handover, now)) EndHandover(job, is_first, now);
+}
+
+// What was answered before a standstill says nothing of what was missed in it.
+void StepEntryNode::RestartQueries(TimePoint now) {
+  std::vector<StepJobId> open;
+  for (auto& [job, handover] : handovers_) {
+    if (handover.from) {
+      handover.is_query_due = true;
+    } else {
+      open.push_back(job);
+    }
+  }
+  for (const StepJobId& job : open) {
+    Handover handover = handovers_.at(job);
+    handover.is_vouched_for = false;
+    BeginQuery(job, std::move(handover), now);
+  }
+}
+
+void StepEntryNode::CheckQueries(TimePoint now) {
+  std::vector<StepJobId> open;
+  for (auto& [job, handover] : handovers_) {
+    if (handover.from) continue;
+    open.push_back(job);
+    if (now - handover.requested_at <= kHandoverRetryInterval) continue;
+    handover.requested_at = now;
+    for (const Incarnation entry : handover.queried) SendQuery(job, entry, now);
+  }
+  for (const StepJobId& job : open) EndQueryIfDone(job, now);
+}
+
+}  // namespace geranium
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -257,10 +257,13 @@
   return {open.begin(), open.end()};
 }
 
-void StepScheduler::Release(const StepJobId& id, TimePoint now) {
+void StepScheduler::Release(const StepJobId& id, bool is_first,
+                            TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
-  jobs_.at(found->second).held = false;
+  Job& job = jobs_.at(found->second);
+  job.held = false;
+  if (is_first) job.may_have_run = false;
   PlaceWaitingTasks(now);
 }
 
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -84,8 +84,9 @@
   /// Cancels an open job at its caller's request; false if it is unknown.
   bool Cancel(const StepJobId& id, TimePoint now);
   std::size_t CountPending(const Route& route) const;
-  /// Allows a held job to be dispatched.
-  void Release(const StepJobId& id, TimePoint now);
+  /// Allows a held job to be dispatched; `is_first` if nothing of it can have
+  /// run before, so that it may still be refused.
+  void Release(const StepJobId& id, bool is_first, TimePoint now);
   /// Abandons all submissions of the job so that another one can run;
   /// `TakeRelinquished` returns it once no attempt of any of them is open.
   void Relinquish(const StepJobId& id, TimePoint now);
@@ -98,6 +99,10 @@
   /// Jobs answered since the last call of which a task may have run.
   std::vector<StepJobId> TakeEnded();
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
+  /// True also while only runs of relinquished submissions are open.
+  bool MayHaveRuns(const StepJobId& id) const {
+    return HasJob(id) || being_relinquished_.contains(id);
+  }
   bool HasUnansweredJob(const StepJobId& id) const {
     const auto found = by_id_.find(id);
     return found != by_id_.end() && !jobs_.at(found->second).answered;
--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -38,7 +38,9 @@
     "job_handed_over",
     "job_moved",
     "worker_crashed",
-    "jobs_cancelled"};
+    "jobs_cancelled",
+    "job_holders_query",
+    "job_holders"};
 
 }  // namespace
 
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -289,14 +289,13 @@
   }
 };
 
-using Message =
-    std::variant<Hello, Members, Heartbeat, ConfigurationPull,
-                 ConfigurationPush, Offer, OfferAck, Ready, Grant, Withdraw,
-                 NotStarted, Cancel, TaskResult, ResultAck, Leaving, Drain,
-                 KeyQuery, KeyReply, WorkerCard, WorkerReport, StartTask,
-                 StopTask, TaskEnd, TaskEndAck, AttemptList, RouteTablePull,
-                 RouteTablePush, JobsAccepted, JobHandoverRequest,
-                 JobHandedOver, JobMoved, WorkerCrashed, JobsCancelled>;
+using Message = std::variant<
+    Hello, Members, Heartbeat, ConfigurationPull, ConfigurationPush, Offer,
+    OfferAck, Ready, Grant, Withdraw, NotStarted, Cancel, TaskResult, ResultAck,
+    Leaving, Drain, KeyQuery, KeyReply, WorkerCard, WorkerReport, StartTask,
+    StopTask, TaskEnd, TaskEndAck, AttemptList, RouteTablePull, RouteTablePush,
+    JobsAccepted, JobHandoverRequest, JobHandedOver, JobMoved, WorkerCrashed,
+    JobsCancelled, JobHoldersQuery, JobHolders>;
 
 /// The name of a message's type, for logs and metrics.
 std::string_view MessageName(const Message& message);
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -198,6 +198,32 @@
   }
 };
 
+/// Asks who may have runs of a job, of an entry that has missed announcements.
+struct JobHoldersQuery {
+  StepJobId job;
+  TimePoint sent_at;  ///< On the sender's clock.
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(sent_at);
+  }
+};
+
+/// The entries that may have runs of the job as far as the sender knows, itself
+/// included.
+struct JobHolders {
+  StepJobId job;
+  TimePoint query_sent_at;
+  std::vector<Incarnation> entries;
+  /// The sender has missed no announcement: it speaks for the others, too.
+  bool knows_all = false;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(query_sent_at)(entries)(knows_all);
+  }
+};
+
 /// The sender has no running task of the job any more.
 struct JobHandedOver {
   StepJobId job;
--- a/tests/step_simulator_faults_test.cc
+++ b/tests/step_simulator_faults_test.cc
@@ -292,5 +292,33 @@
   CHECK(simulator.UnansweredJobs() == std::vector<std::string>());
 }
 
+// Guards against jobs that wait for the loss of entries that stand still, at
+// one that has just stood still itself.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with half the entries frozen and another half "
+                 "as they go on, callers of those awake are served in time") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    StepSimulatorOptions options = OptionsWithoutLoad(seed);
+    options.entries = 8;
+    options.workers = 20;
+    options.caller_timeout = Duration(1500);
+    StepSimulator simulator(options);
+    simulator.Run(TimePoint(5000));
+    for (int i = 0; i < 4; ++i) simulator.FreezeEntry(i, Duration(1400));
+    simulator.Run(TimePoint(6300));
+    for (int i = 2; i < 6; ++i) simulator.FreezeEntry(i, Duration(2200));
+    simulator.Run(TimePoint(6460));
+    for (int i = 0; i < 40; ++i) {
+      const int entry = i % 4 < 2 ? i % 4 : i % 4 + 4;  // Those awake.
+      simulator.Submit(entry, OptionsWithoutLoad().load[0]);
+      simulator.Run(simulator.now() + Duration(25));
+    }
+    simulator.Run(TimePoint(9500));
+    CAPTURE(seed);
+    CHECK(simulator.Report().at("lookup").within_objective == 40);
+    CheckNoViolations(simulator);
+  }
+}
+
 }  // namespace
 }  // namespace geranium::standins
