Ignore an agent's link that is read after its newer one

An entry that read a link's first messages after those of the agent's newer link went back to the older one and took its list of orders, made before the newer link was there, for proof that the orders sent since were lost: it placed their tasks again while the runs went on.

The scheduler now ignores a link that is older than the agent's newest. The agent has closed it by then, since it dials one link at a time.

The new test of StepEntryNode failed before (the task was ordered again over the older link) and passes.

--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -195,6 +195,8 @@
 void StepScheduler::OnWorkerLinkUp(LinkId link, Incarnation agent,
                                    TimePoint now) {
   Worker& worker = workers_[agent];
+  // Read late: the agent has closed it, and lists no order sent since.
+  if (link < worker.newest_link) return;
   if (worker.link) by_link_.erase(*worker.link);
   worker.agent = agent;
   worker.link = link;
--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -247,5 +247,38 @@
   CHECK(Sent<StartTask>(successor).size() == 1);
 }
 
+// Guards against an order that is taken for lost by a list made before it was
+// sent, while its run goes on.
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode that reads an agent's older link after its "
+                 "newer one goes on with the newer one and its orders") {
+  const LinkId older(11);
+  const LinkId newer(12);
+  Hello hello;
+  hello.role = ProcessRole::kAgent;
+  hello.incarnation = IncarnationAt(kAgent);
+  node_.OnLinkDown(kAgent, now_);
+  node_.OnLinkUp(older, now_);
+  node_.OnLinkUp(newer, now_);
+  Receive(newer, hello);
+  Receive(newer, AttemptList{});
+  Receive(newer, Card());
+  ReportFreeWorker(newer);
+  Submit(1);
+  REQUIRE(Sent<StartTask>(newer).size() == 1);
+  Receive(older, hello);
+  Receive(older, AttemptList{});
+  Receive(older, Card());
+  ReportFreeWorker(older);
+  node_.OnLinkDown(older, now_);
+  Advance(Duration(20));
+  ReportFreeWorker(newer);
+  CHECK(Sent<StartTask>(older).empty());
+  CHECK(Sent<StartTask>(newer).size() == 1);
+  const AttemptId attempt = Sent<StartTask>(newer)[0].attempt;
+  Receive(newer, TaskEnd{attempt, AttemptEnd::kDone, ""});
+  CHECK(AnswerTo(1) == StepAnswer::kCompleted);
+}
+
 }  // namespace
 }  // namespace geranium
