Abandon jobs after a silence towards the other entries

An entry measured a standstill by its own activity. One that stood still twice and read a message between, but sent no heartbeat, went on with its jobs, though the others had not heard from it for kWorkerLostTimeout and may have taken them over.

The new test of StepEntryNode failed before and passes.

--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -70,7 +70,10 @@
 void StepEntryNode::AbandonJobsAfterStandstill(TimePoint now) {
   const TimePoint last_active = std::exchange(last_active_, now);
   if (last_active == TimePoint::Never()) return;
-  if (now - last_active < kMaxStandstill) return;
+  const bool was_silent = last_peer_heartbeat_ != TimePoint::Never() &&
+                          now - last_peer_heartbeat_ >= kMaxPeerSilence;
+  if (now - last_active < kMaxStandstill && !was_silent) return;
+  last_peer_heartbeat_ = now;
   const std::size_t abandoned = scheduler_.AbandonOpenJobs(
       "the entry stood still and another may have taken the job over", now);
   CollectActions(now);
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -319,6 +319,7 @@
   if (to_agents) next_heartbeat_ = now + kHeartbeatInterval;
   if (to_entries) {
     next_peer_heartbeat_ = now + kPeerHeartbeatInterval;
+    last_peer_heartbeat_ = now;
     ReannounceJobs(now);
   }
   if (to_entries || now >= next_announcement_) AnnounceJobs(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -64,6 +64,10 @@
   /// for `kWorkerLostTimeout`, and have taken its jobs over.
   static constexpr Duration kMaxStandstill =
       StepScheduler::kWorkerLostTimeout - kPeerHeartbeatInterval * 2;
+  /// The same after this long without a heartbeat to the others, whatever was
+  /// received meanwhile.
+  static constexpr Duration kMaxPeerSilence =
+      kMaxStandstill + kPeerHeartbeatInterval;
 
   explicit StepEntryNode(StepEntryOptions options);
 
@@ -223,6 +227,7 @@
   TimePoint next_members_;
   TimePoint next_heartbeat_;
   TimePoint next_peer_heartbeat_;
+  TimePoint last_peer_heartbeat_ = TimePoint::Never();
   TimePoint next_announcement_;
   TimePoint next_reannouncement_;
   std::optional<TimePoint> leave_deadline_;
--- a/tests/step_entry_node_test.cc
+++ b/tests/step_entry_node_test.cc
@@ -280,5 +280,22 @@
   CHECK(AnswerTo(1) == StepAnswer::kCompleted);
 }
 
+// Guards against two entries that run a job: the others hear of this one by its
+// heartbeats, not by what it reads.
+TEST_CASE_METHOD(StepEntryNodeTest,
+                 "StepEntryNode that stood still twice without a heartbeat "
+                 "between abandons its jobs") {
+  Submit(1);
+  Run(Duration(300));
+  REQUIRE_FALSE(AnswerTo(1).has_value());
+  for (int i = 0; i < 2; ++i) {
+    now_ = now_ + StepEntryNode::kMaxStandstill - Duration(50);
+    Receive(kAgent,
+            Heartbeat{now_, now_, Version(1), std::nullopt, std::nullopt});
+  }
+  Advance(Duration(1));
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+}
+
 }  // namespace
 }  // namespace geranium
