Start no run whose entry has been silent for too long

The worker's lease is never shortened. A poll gave it a whole lease while no run of a silent entry was there; an order of that entry, started up to 700 ms after its last proof of life, then ran under a lease that ended 1340 ms after that, though INVARIANTS.md says 1200 ms (kLongestEntrySilence). Another entry may count the run as ended before.

Orders are started only within kLongestEntrySilence less a lease (550 ms); until 700 ms they wait or are returned. Runs that have started go on as before.

The new test of WorkerSession failed before, for an order on arrival and for a queued one, and passes.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -71,6 +71,10 @@
   /// `StepScheduler::kWorkerLostTimeout` by an interval of the heartbeats
   /// between entries and by the drift of the worker's clock.
   static constexpr Duration kLongestEntrySilence{1200};
+  /// A run is started only this long after the last proof of life of its entry:
+  /// the worker may have been given a whole lease just before.
+  static constexpr Duration kLongestSilenceAtStart =
+      kLongestEntrySilence - kLeaseDuration;
   /// An unanswered stop is resent after this long; an answer from the same
   /// machine takes a few milliseconds.
   static constexpr Duration kStopRetryInterval{60};
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 bool WorkerSession::IsAlive(const Entry& entry, TimePoint now) const {
-  return entry.linked && now - entry.last_alive_at <= kEntryTimeout;
+  return entry.linked && now - entry.last_alive_at <= kLongestSilenceAtStart;
 }
 
 bool WorkerSession::IsAnnouncementCurrent() const {
@@ -85,7 +85,7 @@
   const auto entry = entries_.find(queued.entry);
   return now - queued.state_since > queued.order.max_wait ||
          entry == entries_.end() ||
-         now - entry->second.last_alive_at > kEntryTimeout;
+         now - entry->second.last_alive_at > kLongestSilenceAtStart;
 }
 
 // By priority, then by age. Smaller tasks may overtake a large one at the head
--- a/tests/worker_session_polls_test.cc
+++ b/tests/worker_session_polls_test.cc
@@ -223,5 +223,70 @@
   CHECK(session_.in_use().cpu == 8);
 }
 
+// Guards against a run that outlasts the time after which other entries count
+// it as ended: the lease is the whole worker's, and is never shortened.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that starts an order whose entry has been "
+                 "silent for a while has given its worker no longer lease than "
+                 "that entry's runs may have") {
+  const bool is_queued = GENERATE(false, true);
+  CAPTURE(is_queued);
+  const TimePoint last_alive = now_;
+  const auto hear_second = [&] {
+    session_.OnMessage(
+        kSecond, Heartbeat{now_, now_, Version(0), std::nullopt, std::nullopt},
+        now_);
+  };
+  std::vector<TaskRun> running;
+  PollOutcome listing;
+  if (is_queued) {
+    estimate_ = Duration(10'000);
+    for (std::uint64_t i = 1; i <= kFullWorker; ++i) {
+      running.push_back(Order(kSecond, i));
+    }
+    Tick();
+    for (const TaskRun& run : running) {
+      session_.OnStartEnded(run, AcceptedOrder(), now_);
+    }
+  }
+  std::int64_t latest = 0;
+  const auto answer_poll = [&] {
+    if (polls_.back().lease_until_ms) {
+      latest = std::max(latest, *polls_.back().lease_until_ms);
+    }
+    AnswerPoll(listing);
+  };
+  const TimePoint order_at = last_alive + WorkerSession::kEntryTimeout;
+  for (int percent = 1; now_ < order_at - Duration(10); ++percent) {
+    Advance(Duration(10));
+    hear_second();
+    listing.running.clear();
+    for (const TaskRun& run : running) {
+      listing.running.push_back({run, percent});
+    }
+    answer_poll();
+    if (is_queued && now_ == order_at - Duration(30)) {
+      Order(kFirst, 10, Duration(250));
+    }
+  }
+  if (is_queued) {
+    const TaskRun done = running.back();
+    running.pop_back();
+    listing.running.pop_back();
+    listing.ended.push_back({1, done, RunEnd::kDone});
+    answer_poll();
+  } else {
+    Order(kFirst, 10);
+  }
+  Tick();
+  const bool started = std::any_of(
+      actions_.begin(), actions_.end(), [](const SessionAction& action) {
+        const auto* start = std::get_if<StartRun>(&action);
+        return start != nullptr && start->run.task == TaskName("t10");
+      });
+  const TimePoint limit = last_alive + WorkerSession::kLongestEntrySilence;
+  CHECK((!started || latest <= limit.ms()));
+}
+
 }  // namespace
 }  // namespace geranium
