Bound leases that were computed with an earlier worker's clock

A worker that restarts under its id has a new clock. A call computed with the earlier one asks for a lease far in the future, and the worker grants the longest there is (1000 ms), while the session noted 650 ms: after a standstill it gave up runs that went on. An answer of the earlier incarnation that was read after the newer one's announcement also brought the earlier clock, and the earlier incarnation, back.

A change of incarnation now counts as the longest lease. Answers to polls of the earlier incarnation are ignored once the newer one is known, and the clock of a start's answer counts only for the incarnation that was ordered.

The two new tests of WorkerSession failed before and pass.

--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -80,6 +80,10 @@
   run_statistics_ = RunStatistics();
   worker_silent_ = false;
   last_answer_at_ = now;
+  if (next_poll_number_ > 1) {
+    // Calls computed with the earlier clock may have been given any lease.
+    lease_end_ = std::max(lease_end_, now + options_.longest_lease);
+  }
   ++fencing_token_;
   for (auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kRunning || attempt.state == State::kStarting) {
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -146,6 +146,7 @@
     /// or to its stop once that is accepted. That an earlier one does not list
     /// the run says nothing.
     std::uint64_t first_valid_poll = 0;
+    std::uint64_t worker_started_ms = 0;  ///< The incarnation ordered to start.
     bool stop_accepted = false;
     bool crashed = false;  ///< Its worker crashed while it ran.
     bool suspect = false;  ///< ... shortly after it had started.
@@ -256,7 +257,8 @@
   struct OpenPoll {
     TimePoint sent;
     std::uint64_t fencing_token = 0;
-    bool is_immediate = false;  ///< Sent besides the long poll.
+    std::uint64_t started_ms = 0;  ///< Of the incarnation known then.
+    bool is_immediate = false;     ///< Sent besides the long poll.
   };
 
   std::map<std::uint64_t, OpenPoll> open_polls_;
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -113,6 +113,7 @@
   attempt.state_since = now;
   attempt.started_at = now;
   attempt.last_progress_at = now;
+  attempt.worker_started_ms = started_ms_;
   lease_end_ = std::max(lease_end_, now + kLeaseDuration);
   ++counters_.starts;
   actions_.emplace_back(StartRun{worker_->id, attempt.order.run,
@@ -123,7 +124,10 @@
 void WorkerSession::OnStartEnded(const TaskRun& run,
                                  const OrderOutcome& outcome, TimePoint now) {
   Attempt* attempt = FindByRun(run);
-  if (outcome.clock_ms) {
+  // Else it may be the clock of an earlier incarnation.
+  const bool is_current =
+      attempt != nullptr && attempt->worker_started_ms == started_ms_;
+  if (outcome.clock_ms && is_current) {
     last_answer_at_ = now;
     clock_offset_ms_ = *outcome.clock_ms - now.ms();
   }
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -85,7 +85,7 @@
   poll.worker = worker_->id;
   poll.fencing_token = fencing_token_;
   poll.acknowledged_end = acknowledged_end_;
-  open_polls_[poll.number] = OpenPoll{now, fencing_token_, false};
+  open_polls_[poll.number] = OpenPoll{now, fencing_token_, started_ms_, false};
   actions_.emplace_back(std::move(poll));
 }
 
@@ -113,6 +113,12 @@
     }
     return;
   }
+  const bool is_from_earlier_incarnation =
+      poll.started_ms != started_ms_ && outcome.started_ms == poll.started_ms;
+  if (is_from_earlier_incarnation) {
+    if (!poll.is_immediate) next_poll_ = now;
+    return;  // Read after the announcement of the newer one.
+  }
   last_answer_at_ = now;
   unanswered_since_.reset();
   if (crashed_) ++state_version_;
--- a/tests/worker_session_polls_test.cc
+++ b/tests/worker_session_polls_test.cc
@@ -288,5 +288,74 @@
   CHECK((!started || latest <= limit.ms()));
 }
 
+// Guards against runs given up and started elsewhere while they go on: a call
+// computed with the earlier clock asks for the longest lease there is.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that stood still after its worker's restart "
+                 "keeps its runs until the longest lease has ended") {
+  Advance(Duration(20));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  restarted.clock_ms = 5;
+  const auto answer_poll = [&] {
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  };
+  answer_poll();  // Sent with the earlier clock.
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  announcement.clock_ms = 5;
+  session_.OnAnnouncement(announcement, now_);
+  answer_poll();
+  SendHeartbeats();
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  REQUIRE(session_.in_use().cpu == 8);
+  const Duration limit = Options().longest_lease;
+  REQUIRE(limit - Duration(100) > WorkerSession::kLeaseDuration);
+  now_ = now_ + limit - Duration(100);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kFirst) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
+// Guards against a lease computed with the clock of an incarnation that is
+// gone.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that reads an answer of its worker's earlier "
+                 "incarnation after the new one's announcement keeps to the "
+                 "new clock") {
+  const bool is_start = GENERATE(false, true);
+  CAPTURE(is_start);
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  constexpr std::int64_t kNewClock = 5;
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  announcement.clock_ms = kNewClock;
+  session_.OnAnnouncement(announcement, now_);
+  OrderOutcome started = AcceptedOrder();
+  started.clock_ms = now_.ms();
+  PollOutcome early = AcceptedPoll();
+  early.clock_ms = now_.ms();
+  if (is_start) session_.OnStartEnded(run, started, now_);
+  session_.OnPollEnded(early_poll, is_start ? PollOutcome{} : early, now_);
+  session_.OnEventsHandled(now_);
+  Advance(Duration(40));
+  REQUIRE(polls_.back().number > early_poll);
+  REQUIRE(polls_.back().lease_until_ms.has_value());
+  CHECK(*polls_.back().lease_until_ms <=
+        kNewClock + 40 + WorkerSession::kLeaseDuration.ms());
+}
+
 }  // namespace
 }  // namespace geranium
