Show two runs of a task at an entry that restarts

A new entry process knows nothing of the jobs of the one before. A job that reaches it again while the earlier runs go on (up to 1200 ms after the kill) is started beside them: the silence of the earlier process is waited for by the other entries, not by its successor.

--- a/tests/step_simulator_handover_test.cc
+++ b/tests/step_simulator_handover_test.cc
@@ -165,5 +165,27 @@
   CheckCompleted(simulator, jobs);
 }
 
+// Guards against a new process that starts a job of which it knows nothing, but
+// of which its predecessor's runs go on.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with an entry restarted and sent a job again "
+                 "that it had before, no task of the job runs twice") {
+  StepSimulatorOptions options = OptionsWithoutLoad();
+  options.entries = GENERATE(1, 4);
+  options.caller_timeout = Duration(20'000);
+  CAPTURE(options.entries);
+  StepSimulator simulator(options);
+  simulator.Run(TimePoint(1600));
+  LoadClass load_class = LongJob();
+  load_class.mean_work = Duration(4000);
+  const int job = simulator.Submit(0, load_class);
+  // The caller notices that its connection broke long before the entry is
+  // killed.
+  simulator.At(TimePoint(3100), [&] { simulator.KillEntry(0, Duration(50)); });
+  simulator.At(TimePoint(3250), [&] { simulator.Resubmit(job, 0); });
+  simulator.Run(TimePoint(6000));
+  CheckNoViolations(simulator);
+}
+
 }  // namespace
 }  // namespace geranium::standins
