--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -257,8 +257,7 @@
   return {open.begin(), open.end()};
 }
 
-void StepScheduler::Release(const StepJobId& id, bool is_first,
-                            TimePoint now) {
+void StepScheduler::Release(const StepJobId& id, bool is_first, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
   Job& job = jobs_.at(found->second);
--- a/tests/worker_session_polls_test.cc
+++ b/tests/worker_session_polls_test.cc
@@ -249,5 +249,139 @@
   CHECK(CountActions<StartRun>() == 1);
 }
 
+// Guards against a run that outlasts the time after which other entries count
+// it as ended: the lease is the whole worker's, and is never shortened.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that starts an order whose entry has been "
+                 "silent for a while has given its worker no longer lease than "
+                 "that entry's runs may have") {
+  const bool is_queued = GENERATE(false, true);
+  CAPTURE(is_queued);
+  const TimePoint last_alive = now_;
+  const auto hear_second = [&] {
+    session_.OnMessage(
+        kSecond, Heartbeat{now_, now_, Version(0), std::nullopt, std::nullopt},
+        now_);
+  };
+  std::vector<TaskRun> running;
+  PollOutcome listing;
+  if (is_queued) {
+    estimate_ = Duration(10'000);
+    for (std::uint64_t i = 1; i <= kFullWorker; ++i) {
+      running.push_back(Order(kSecond, i));
+    }
+    Tick();
+    for (const TaskRun& run : running) {
+      session_.OnStartEnded(run, AcceptedOrder(), now_);
+    }
+  }
+  std::int64_t latest = 0;
+  const auto answer_poll = [&] {
+    if (polls_.back().lease_until_ms) {
+      latest = std::max(latest, *polls_.back().lease_until_ms);
+    }
+    AnswerPoll(listing);
+  };
+  const TimePoint order_at = last_alive + WorkerSession::kEntryTimeout;
+  for (int percent = 1; now_ < order_at - Duration(10); ++percent) {
+    Advance(Duration(10));
+    hear_second();
+    listing.running.clear();
+    for (const TaskRun& run : running) {
+      listing.running.push_back({run, percent});
+    }
+    answer_poll();
+    if (is_queued && now_ == order_at - Duration(30)) {
+      Order(kFirst, 10, Duration(250));
+    }
+  }
+  if (is_queued) {
+    const TaskRun done = running.back();
+    running.pop_back();
+    listing.running.pop_back();
+    listing.ended.push_back({1, done, RunEnd::kDone});
+    answer_poll();
+  } else {
+    Order(kFirst, 10);
+  }
+  Tick();
+  const bool started = std::any_of(
+      actions_.begin(), actions_.end(), [](const SessionAction& action) {
+        const auto* start = std::get_if<StartRun>(&action);
+        return start != nullptr && start->run.task == TaskName("t10");
+      });
+  const TimePoint limit = last_alive + WorkerSession::kLongestEntrySilence;
+  CHECK((!started || latest <= limit.ms()));
+}
+
+// Guards against runs given up and started elsewhere while they go on: a call
+// computed with the earlier clock asks for the longest lease there is.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that stood still after its worker's restart "
+                 "keeps its runs until the longest lease has ended") {
+  Advance(Duration(20));
+  PollOutcome restarted = AcceptedPoll();
+  restarted.started_ms = 2;
+  restarted.clock_ms = 5;
+  const auto answer_poll = [&] {
+    session_.OnPollEnded(polls_.back().number, restarted, now_);
+    session_.OnEventsHandled(now_);
+    Tick();
+  };
+  answer_poll();  // Sent with the earlier clock.
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  announcement.clock_ms = 5;
+  session_.OnAnnouncement(announcement, now_);
+  answer_poll();
+  SendHeartbeats();
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  REQUIRE(session_.in_use().cpu == 8);
+  const Duration limit = Options().longest_lease;
+  REQUIRE(limit - Duration(100) > WorkerSession::kLeaseDuration);
+  now_ = now_ + limit - Duration(100);
+  Tick();
+  CHECK(CountSent<TaskEnd>(kFirst) == 0);
+  CHECK(session_.in_use().cpu == 8);
+}
+
+// Guards against a lease computed with the clock of an incarnation that is
+// gone.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession that reads an answer of its worker's earlier "
+                 "incarnation after the new one's announcement keeps to the "
+                 "new clock") {
+  const bool is_start = GENERATE(false, true);
+  CAPTURE(is_start);
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  const std::uint64_t early_poll = polls_.back().number;
+  constexpr std::int64_t kNewClock = 5;
+  WorkerAnnouncement announcement;
+  announcement.id = WorkerId("w");
+  announcement.service = ServiceName("s");
+  announcement.capacity = Resources{32, 1024, 0};
+  announcement.started_ms = 2;
+  announcement.clock_ms = kNewClock;
+  session_.OnAnnouncement(announcement, now_);
+  OrderOutcome started = AcceptedOrder();
+  started.clock_ms = now_.ms();
+  PollOutcome early = AcceptedPoll();
+  early.clock_ms = now_.ms();
+  if (is_start) session_.OnStartEnded(run, started, now_);
+  session_.OnPollEnded(early_poll, is_start ? PollOutcome{} : early, now_);
+  session_.OnEventsHandled(now_);
+  Advance(Duration(40));
+  REQUIRE(polls_.back().number > early_poll);
+  REQUIRE(polls_.back().lease_until_ms.has_value());
+  CHECK(*polls_.back().lease_until_ms <=
+        kNewClock + 40 + WorkerSession::kLeaseDuration.ms());
+}
+
 }  // namespace
 }  // namespace geranium
