Wait for the runs of a job that another entry had taken in

The entry that keeps a job taken twice now holds it, and asks the other one for it as for any job that is handed over.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -74,6 +74,10 @@
     Log(LogLevel::kWarning, "job_taken_twice",
         {{"job", job.value()}, {"other", ToString(entry)}});
     scheduler_.Relinquish(job, now);
+  } else if (scheduler_.HasUnansweredJob(job)) {
+    // That one gives the job up, but its runs take a while to stop.
+    scheduler_.Hold(job);
+    AskNextHolder(job, {entry}, now);
   }
 }
 
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -84,6 +84,11 @@
   /// Cancels an open job at its caller's request; false if it is unknown.
   bool Cancel(const StepJobId& id, TimePoint now);
   std::size_t CountPending(const Route& route) const;
+  /// Starts no more tasks of the job until it is released.
+  void Hold(const StepJobId& id) {
+    const auto found = by_id_.find(id);
+    if (found != by_id_.end()) jobs_.at(found->second).held = true;
+  }
   /// Allows a held job to be dispatched.
   void Release(const StepJobId& id, TimePoint now);
   /// Abandons all submissions of the job so that another one can run;
--- a/tests/step_entry_repeated_jobs_test.cc
+++ b/tests/step_entry_repeated_jobs_test.cc
@@ -186,5 +186,21 @@
   CHECK(Sent<JobHandoverRequest>(kSecond).size() == 2);
 }
 
+// Guards against tasks that a new process starts beside the runs of an entry
+// that it was not linked to yet.
+TEST_CASE_METHOD(LastStepEntryNodeTest,
+                 "StepEntryNode told of an earlier entry's runs before it has "
+                 "started its job waits for their end") {
+  Receive(kAgent, WorkerReport{});  // Takes no orders.
+  Submit(1);
+  REQUIRE(Sent<StartTask>(kAgent).empty());
+  Receive(kSecond, JobsAccepted{{job_}});
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).empty());
+  REQUIRE(Sent<JobHandoverRequest>(kSecond).size() == 1);
+  Receive(kSecond, JobHandedOver{job_});
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
