Merge the wait for the runs of a job that another entry had taken in

An entry that has been told of a holder asks it for the job: the holder no longer takes that entry's announcement for a second, unknowing one. Its new test is in step_entry_queries_test.cc; two entries could both have given the job up.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -66,6 +66,8 @@
       requester->second.entry == entry) {
     return;
   }
+  // It has been told that this one has the job, and is about to ask for it.
+  if (known_jobs_.at(job).querier == entry) return;
   const auto own = handovers_.find(job);
   if (own != handovers_.end()) {
     std::vector<Incarnation>& others = own->second.others;
@@ -76,6 +78,12 @@
     Log(LogLevel::kWarning, "job_taken_twice",
         {{"job", job.value()}, {"other", ToString(entry)}});
     scheduler_.Relinquish(job, now);
+  } else if (scheduler_.HasUnansweredJob(job)) {
+    // That one gives the job up, but its runs take a while to stop.
+    scheduler_.Hold(job);
+    Handover handover;
+    handover.others = {entry};
+    AskNextHolder(job, std::move(handover), now);
   }
 }
 
@@ -107,6 +115,10 @@
   // Of two entries that wait for each other, one gives the job up.
   if (is_mutual && requester < options_.incarnation) return;
   handover_requesters_[request.job] = HandoverRequester{requester, link};
+  if (const auto known = known_jobs_.find(request.job);
+      known != known_jobs_.end()) {
+    known->second.querier.reset();
+  }
   scheduler_.Relinquish(request.job, now);
   Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
   if (is_mutual) ContinueHandover(request.job, now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -141,6 +141,8 @@
     TimePoint updated_at;
     /// To which this entry has handed the job over.
     std::optional<Incarnation> successor;
+    /// Has been told that this entry has the job, and will ask for it.
+    std::optional<Incarnation> querier;
     bool cancelled = false;
   };
   /// Who asked for a job and gets it once no run of it is left here.
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -86,11 +86,14 @@
   const Incarnation requester = peer.hello->incarnation;
   std::vector<Incarnation> holders = HoldersOf(query.job, now);
   std::erase(holders, requester);
+  KnownJob& known = KeepKnownJob(query.job, now);
+  std::erase(known.holders, requester);
+  known.holders.push_back(requester);
+  const bool is_holder = std::find(holders.begin(), holders.end(),
+                                   options_.incarnation) != holders.end();
+  if (is_holder) known.querier = requester;
   Send(link, JobHolders{query.job, query.sent_at, std::move(holders),
                         KnowsAllHolders(now)});
-  std::vector<Incarnation>& known = KeepKnownJob(query.job, now).holders;
-  std::erase(known, requester);
-  known.push_back(requester);
 }
 
 void StepEntryNode::On(LinkId link, const JobHolders& holders, TimePoint now) {
--- a/tests/step_entry_queries_test.cc
+++ b/tests/step_entry_queries_test.cc
@@ -163,6 +163,18 @@
   }
 }
 
+// Guards against two entries that both give a job up.
+TEST_CASE_METHOD(StepEntryQueriesTest,
+                 "StepEntryNode that told another entry of its job goes on "
+                 "with it until that one asks for it") {
+  Submit(1);
+  CHECK(AskForHolders(kSecond).entries == std::vector{Incarnation(1)});
+  Receive(kSecond, JobsAccepted{{job_}});
+  CHECK_FALSE(AnswerTo(1).has_value());
+  Receive(kSecond, JobHandoverRequest{job_});
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+}
+
 TEST_CASE_METHOD(StepEntryQueriesTest,
                  "StepEntryNode that has missed announcements does not speak "
                  "for others") {
