Log at an agent which entry ordered a run

Cause: two runs of a task at different agents may have been ordered by one entry or by two. Entries leave lines on jobs out beyond 50 a second, and an agent's lines on a run did not name the entry, so the logs could not tell. Change: run_done, run_not_done and start_unanswered name the entry and its incarnation. Measured: the test of the log line.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -171,6 +171,7 @@
 
   /// State of an entry that outlives a single link.
   struct Entry {
+    std::string name;
     LinkId link;
     bool linked = false;
     TimePoint last_alive_at = TimePoint::Never();  ///< Known to be alive then.
@@ -228,6 +229,8 @@
   void SelectEntries(TimePoint now);
   void ReleaseUnselected(TimePoint now);
   bool HasOpenWork(Incarnation entry) const;
+  /// Name of the entry that ordered the run, for the log.
+  std::string EntryNameOf(const Attempt& attempt) const;
   void SendHeartbeats(TimePoint now);
   void SendReports(TimePoint now);
   void SendReport(LinkId link, Peer& peer, TimePoint now);
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -56,6 +56,7 @@
   selection_.OnLinked(hello.link_address);
   const bool is_new = !entries_.contains(hello.incarnation);
   Entry& entry = entries_[hello.incarnation];
+  entry.name = hello.name;
   entry.link = link;
   entry.linked = true;
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -197,6 +197,9 @@
   Stop(attempt, "in doubt", now);
   Log(LogLevel::kWarning, "start_unanswered",
       {{"task", attempt.order.run.task.value()},
+       {"run", std::to_string(attempt.order.run.run)},
+       {"entry", EntryNameOf(attempt)},
+       {"entry_incarnation", ToString(attempt.entry)},
        {"message", outcome.message},
        {"sent_twice", outcome.earlier_copy_lost ? "true" : "false"}});
   if (outcome.reply == OrderReply::kUnhealthy) {
@@ -262,6 +265,8 @@
   Log(LogLevel::kInfo, done ? "run_done" : "run_not_done",
       {{"task", attempt.order.run.task.value()},
        {"run", std::to_string(attempt.order.run.run)},
+       {"entry", EntryNameOf(attempt)},
+       {"entry_incarnation", ToString(attempt.entry)},
        {"end", std::string(Name(end))},
        {"reason", reason},
        {"estimate_ms", std::to_string(attempt.order.estimate.ms())},
@@ -276,6 +281,11 @@
   SendTaskEnd(entry, TaskEnd{id, end, reason});
 }
 
+std::string WorkerSession::EntryNameOf(const Attempt& attempt) const {
+  const auto entry = entries_.find(attempt.entry);
+  return entry == entries_.end() ? "" : entry->second.name;
+}
+
 void WorkerSession::SendTaskEnd(Incarnation entry, const TaskEnd& end) {
   Entry& known = entries_[entry];
   known.unacknowledged[end.attempt] = end;
--- a/tests/worker_session_fixture.h
+++ b/tests/worker_session_fixture.h
@@ -25,6 +25,7 @@
       session_.OnLinkUp(link, now_);
       Hello hello;
       hello.role = ProcessRole::kEntry;
+      hello.name = "entry-" + std::to_string(link.value());
       hello.incarnation = Incarnation(link.value());
       hello.link_address = "entry-" + std::to_string(link.value());
       session_.OnMessage(link, hello, now_);
@@ -131,6 +132,17 @@
     return *last;
   }
 
+  /// The fields of the last log line of an event; empty if there is none.
+  std::map<std::string, std::string> LastLogged(const std::string& event) {
+    std::map<std::string, std::string> fields;
+    for (const SessionAction& action : actions_) {
+      const auto* message = std::get_if<LogMessage>(&action);
+      if (message == nullptr || message->event != event) continue;
+      fields = {message->fields.begin(), message->fields.end()};
+    }
+    return fields;
+  }
+
   template <class Action>
   int CountActions() const {
     return static_cast<int>(std::count_if(
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -27,6 +27,22 @@
   CHECK(CountSent<WorkerReport>(kSecond) == 1);
 }
 
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession when a run ends, its log line names the entry "
+                 "that ordered it") {
+  for (const LinkId link : {kFirst, kSecond}) {
+    const TaskRun run = Order(link, link.value());
+    Tick();
+    session_.OnStartEnded(run, AcceptedOrder(), now_);
+    PollOutcome outcome;
+    outcome.ended.push_back({link.value(), run, RunEnd::kDone});
+    AnswerPoll(outcome);
+    auto logged = LastLogged("run_done");
+    CHECK(logged["entry"] == "entry-" + std::to_string(link.value()));
+    CHECK(logged["entry_incarnation"] == ToString(Incarnation(link.value())));
+  }
+}
+
 TEST_CASE_METHOD(WorkerSessionTest,
                  "WorkerSession with nothing to do is next due at a heartbeat, "
                  "not at every millisecond") {
