Soak real processes with series of faults at the size of a large site

Cause: the soak of real processes had at most 10 entries and 10 workers, single faults, and few jobs that were sent again. Up to 16 entries and 80 workers. The stand-in names the two runs of a task.

--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -146,6 +146,12 @@
           });
       return;
     }
+    const bool rejected = std::bernoulli_distribution(
+        endpoint.worker->faults().unhealthy)(random_);
+    if (rejected && path != "/-/hold") {
+      exchange->Reply(JsonResponse(429, Json::object()));
+      return;
+    }
     if (path == "/-/hold") {
       Poll(endpoint, exchange, body,
            clock_.Now() + Duration(body.value("wait-ms", 0)));
@@ -191,15 +197,17 @@
 
   void CheckWorkers(const TaskRun& run) {
     ++starts_;
-    std::set<TaskName> running;
+    std::map<TaskName, std::string> running;  ///< The run and its worker.
     for (const auto& endpoint : endpoints_) {
       if (endpoint->down) continue;
       endpoint->worker->Advance(clock_.Now());
       for (const TaskRun& each : endpoint->worker->running()) {
-        if (running.insert(each.task).second) continue;
-        if (!duplicate_runs_.insert(each).second) continue;
-        violations_.push_back(each.task.value() +
-                              " has two concurrent runs at " +
+        const std::string here = std::to_string(each.run) + " at " +
+                                 endpoint->worker->self().id.value();
+        const auto [other, is_only] = running.emplace(each.task, here);
+        if (is_only || !duplicate_runs_.insert(each).second) continue;
+        violations_.push_back(each.task.value() + " has two concurrent runs, " +
+                              other->second + " and " + here + ", at " +
                               std::to_string(clock_.Now().ms()) + " ms");
       }
       if (endpoint->worker->in_use().cpu >
@@ -289,6 +297,7 @@
       WorkerEndpoint& endpoint =
           *endpoints_.at(body.at("worker").get<std::size_t>());
       endpoint.worker->faults().unanswered = body.value("unanswered", 0.0);
+      endpoint.worker->faults().unhealthy = body.value("busy", 0.0);
       endpoint.worker->faults().hangs = body.value("hangs", false);
       endpoint.worker->SetDraining(body.value("draining", false));
       if (!body.value("draining", false)) endpoint.draining_since.reset();
--- a/tests/process/step_site.cc
+++ b/tests/process/step_site.cc
@@ -5,18 +5,29 @@
 namespace geranium::process {
 namespace {
 
-/// Added to a port to get the one on which the proxy listens for it.
-constexpr int kProxyOffset = 100;
+/// Kinds of listeners; the proxy listens for each on a port of its own.
+constexpr int kListenerKinds = 10;
 /// Each entry reaches the operator log at a proxy port of its own.
-constexpr int kStorePortOffset = 200;
+constexpr int kStoreKind = 2 * kListenerKinds;
+constexpr int kMinStride = 10;
 constexpr int kMaxSeeds = 3;
 /// Longer than any job of the tests takes.
 constexpr Duration kCallTimeout{15'000};
 
+int Stride(int entries, int workers) {
+  return std::max({kMinStride, entries, workers});
+}
+
 }  // namespace
 
+int StepSite::CountPorts(int entries, int workers) {
+  return (kStoreKind + kListenerKinds) * Stride(entries, workers);
+}
+
 StepSite::StepSite(StepSiteOptions options)
-    : options_(options), processes_(options.port) {
+    : options_(options),
+      stride_(Stride(options.entries, options.workers)),
+      processes_(options.port) {
   std::string workers;
   std::string agents;
   for (int i = 0; i < options_.workers; ++i) {
@@ -38,20 +49,20 @@
   return "agent-" + std::to_string(worker);
 }
 
-std::string StepSite::Address(int offset) const {
-  return "127.0.0.1:" + std::to_string(options_.port + offset);
+std::string StepSite::Address(int kind, int index) const {
+  return "127.0.0.1:" + std::to_string(options_.port + kind * stride_ + index);
 }
 
 std::string StepSite::ProxiedAddress(const std::string& address) const {
   if (!options_.is_proxied) return address;
   const auto colon = address.rfind(':') + 1;
   return address.substr(0, colon) +
-         std::to_string(std::stoi(address.substr(colon)) + kProxyOffset);
+         std::to_string(std::stoi(address.substr(colon)) +
+                        kListenerKinds * stride_);
 }
 
 std::string StepSite::StoreAddressFor(int entry) const {
-  return options_.is_proxied ? Address(kStorePortOffset + entry)
-                             : StoreAddress();
+  return options_.is_proxied ? Address(kStoreKind, entry) : StoreAddress();
 }
 
 std::string StepSite::Seeds() const {
--- a/tests/process/step_site.h
+++ b/tests/process/step_site.h
@@ -10,7 +10,7 @@
 namespace geranium::process {
 
 struct StepSiteOptions {
-  int port = 0;  ///< The first of 300 that the site uses.
+  int port = 0;  ///< The first of those that the site uses: `CountPorts`.
   int entries = 2;
   int workers = 3;
   /// Processes reach each other through a proxy, at other ports.
@@ -24,6 +24,8 @@
   using Json = nlohmann::json;
 
   explicit StepSite(StepSiteOptions options);
+  /// Number of consecutive ports that a site of this size uses.
+  static int CountPorts(int entries, int workers);
 
   void StartEntry(int entry);
   void StartAgent(int worker);
@@ -50,19 +52,17 @@
   const StepSiteOptions& options() const { return options_; }
 
   // Where the processes listen.
-  std::string StoreAddress() const { return Address(0); }
-  std::string LinkAddress(int entry) const { return Address(10 + entry); }
-  std::string CallerAddress(int entry) const { return Address(20 + entry); }
-  std::string ReadyAddress(int entry) const { return Address(30 + entry); }
+  std::string StoreAddress() const { return Address(0, 0); }
+  std::string LinkAddress(int entry) const { return Address(1, entry); }
+  std::string CallerAddress(int entry) const { return Address(2, entry); }
+  std::string ReadyAddress(int entry) const { return Address(3, entry); }
   std::string RegistrationAddress(int worker) const {
-    return Address(40 + worker);
-  }
-  std::string WorkerAddress(int worker) const { return Address(50 + worker); }
-  std::string EntryMetricsAddress(int entry) const {
-    return Address(60 + entry);
+    return Address(4, worker);
   }
+  std::string WorkerAddress(int worker) const { return Address(5, worker); }
+  std::string EntryMetricsAddress(int entry) const { return Address(6, entry); }
   std::string AgentMetricsAddress(int worker) const {
-    return Address(70 + worker);
+    return Address(7, worker);
   }
   /// Where other processes reach the listener at `address`; the store has one
   /// such address for each entry.
@@ -70,10 +70,11 @@
   std::string StoreAddressFor(int entry) const;
 
  private:
-  std::string Address(int offset) const;
+  std::string Address(int kind, int index) const;
   std::string Seeds() const;
 
   StepSiteOptions options_;
+  int stride_;  ///< Ports of each kind of listener.
   ProcessGroup processes_;
 };
 
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -12,6 +12,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/random.h"
+
 namespace geranium::soak {
 namespace {
 
@@ -174,10 +176,13 @@
       SetSingleFault(fault);
       return;
     }
-    *fault_ = fault;
-    if (!fault.reset) return;
+    if (!fault.reset) {
+      *fault_ = fault;
+      return;
+    }
     for (const auto& item : connections_) {
-      if (const auto connection = item.lock()) connection->Reset();
+      const auto connection = item.lock();
+      if (connection && random_.Chance(fault.reset_share)) connection->Reset();
     }
   }
 
@@ -203,6 +208,7 @@
   Tcp::endpoint target_;
   std::shared_ptr<PathFault> fault_;
   std::list<std::weak_ptr<Connection>> connections_;
+  Random random_{1};
 };
 
 FaultProxy::FaultProxy() {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -18,6 +18,7 @@
   bool stall_to_server = false;    ///< From the client to the server.
   bool stall_to_client = false;    ///< From the server to the client.
   bool reset = false;              ///< Resets the open connections once.
+  double reset_share = 1;          ///< Of the open connections.
   bool single_connection = false;  ///< Affects one open connection only.
 };
 
@@ -34,7 +35,8 @@
   /// Accepts connections at `listen` for the server at `target`; both ip:port.
   void Forward(const std::string& listen, const std::string& target);
   /// Applies the fault to all present and future connections at `listen` (with
-  /// `single_connection`, to one open one), replacing an earlier fault.
+  /// `single_connection`, to one open one), replacing an earlier fault; a reset
+  /// leaves an earlier fault of the path in place.
   void SetFault(const std::string& listen, const PathFault& fault);
   void HealAll();
 
--- a/tests/soak/process_soak.h
+++ b/tests/soak/process_soak.h
@@ -12,13 +12,18 @@
 
 struct ProcessSoakOptions {
   std::uint64_t seed = 1;
-  int port = 28'000;  ///< The first of 300 that the run uses.
+  /// The first of the ports that the run uses: StepSite::CountPorts.
+  int port = 28'000;
   int entries = 3;
   int workers = 5;
   int callers = 12;
   Duration length{8000};  ///< How long faults are injected.
   /// Injects only planned maintenance: SIGTERM, SIGHUP and new manifests.
   bool is_maintenance_only = false;
+  /// Injects series of faults as well, which overlap: parts of the site stand
+  /// still, are killed and restarted at once; workers reject orders while
+  /// connections are reset; callers are cut off and go to other entries.
+  bool has_series = false;
 };
 
 /// What callers and workers observed in one run.
--- a/tests/soak/process_soak_main.cc
+++ b/tests/soak/process_soak_main.cc
@@ -13,12 +13,15 @@
 
 /// Every third seed has only maintenance, which must interrupt no request.
 constexpr std::uint64_t kMaintenanceSeedInterval = 3;
+constexpr int kMaxEntries = 16;
+constexpr int kMaxWorkers = 80;
 constexpr int kExitUsage = 64;
 constexpr std::int64_t kMsPerSecond = 1000;
 
 // Returns whether the run had no violation.
 bool RunSeed(ProcessSoakOptions options) {
-  options.is_maintenance_only = options.seed % kMaintenanceSeedInterval == 0;
+  options.is_maintenance_only =
+      !options.has_series && options.seed % kMaintenanceSeedInterval == 0;
   const ProcessSoakReport report = geranium::soak::RunProcessSoak(options);
   std::cout << "seed " << options.seed
             << (options.is_maintenance_only ? " (maintenance only)" : "")
@@ -51,7 +54,8 @@
       cxxopts::value<int>()->default_value("5"))(
       "callers", "number of callers",
       cxxopts::value<int>()->default_value("12"))(
-      "port", "the first of 300 ports on loopback",
+      "series", "inject series of faults that overlap, too")(
+      "port", "the first port on loopback; 30 are used for each worker",
       cxxopts::value<int>()->default_value("28000"));
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
@@ -65,10 +69,11 @@
   soak.workers = parsed["workers"].as<int>();
   soak.callers = parsed["callers"].as<int>();
   soak.port = parsed["port"].as<int>();
-  if (soak.entries < 1 || soak.entries > 10 || soak.workers < 1 ||
-      soak.workers > 10) {
-    std::cerr
-        << "geranium-process-soak: --entries and --workers take 1 to 10\n";
+  soak.has_series = parsed["series"].as<bool>();
+  if (soak.entries < 1 || soak.entries > kMaxEntries || soak.workers < 1 ||
+      soak.workers > kMaxWorkers) {
+    std::cerr << "geranium-process-soak: --entries takes 1 to " << kMaxEntries
+              << ", --workers 1 to " << kMaxWorkers << "\n";
     return kExitUsage;
   }
   int failed = 0;
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_callers.h"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -18,6 +19,7 @@
 constexpr std::size_t kMaxWorkMs = 500;
 constexpr std::size_t kMaxTasks = 6;
 constexpr Duration kCallerTimeout{6000};
+constexpr Duration kImpatientTimeout{1500};
 /// The platform's limit: a request cut off sooner may not have been read.
 constexpr Duration kUnreadRequestWindow{200};
 
@@ -78,15 +80,27 @@
   std::snprintf(id, sizeof(id), "%016llx",
                 static_cast<unsigned long long>(++next_job_));
   caller.job = id;
-  caller.body = process::StepSite::JobBody(
-      static_cast<int>(20 + random_.Below(kMaxWorkMs)),
-      static_cast<int>(1 + random_.Below(kMaxTasks)));
+  caller.body = RandomJob();
   caller.answer_lost = false;
   ++open_jobs_;
   Send(caller);
 }
 
+std::string SoakCallers::RandomJob() {
+  if (!impatient_) {
+    return process::StepSite::JobBody(
+        static_cast<int>(20 + random_.Below(kMaxWorkMs)),
+        static_cast<int>(1 + random_.Below(kMaxTasks)));
+  }
+  // Work in milliseconds and number of tasks.
+  constexpr std::array<std::pair<int, int>, 3> kKinds = {
+      {{60, 8}, {900, 4}, {200, 2}}};
+  const auto& [work_ms, tasks] = kKinds[random_.Below(kKinds.size())];
+  return process::StepSite::JobBody(work_ms, tasks);
+}
+
 void SoakCallers::Send(Caller& caller) {
+  const Duration timeout = impatient_ ? kImpatientTimeout : kCallerTimeout;
   caller.sent_at = SystemClock().Now();
   HttpCall call;
   call.address = entries_[caller.entry];
@@ -94,8 +108,8 @@
   call.target = "/desk/" + caller.job;
   call.body = caller.body;
   call.headers["Host"] = "callers.example";
-  call.headers["Request-Deadline"] = std::to_string(kCallerTimeout.ms());
-  call.timeout = kCallerTimeout;
+  call.headers["Request-Deadline"] = std::to_string(timeout.ms());
+  call.timeout = timeout;
   call.retry_on_broken_connection = false;  // See kRetryDelay.
   caller.client.Start(std::move(call), [this, &caller](const HttpOutcome& out) {
     OnAnswer(caller, out);
@@ -138,7 +152,8 @@
   const bool not_connected = outcome.failure == HttpFailure::kNotConnected;
   caller.answer_lost = caller.answer_lost || !not_connected;
   ++totals_.resubmitted;
-  caller.entry = (caller.entry + 1) % entries_.size();
+  caller.entry = impatient_ ? random_.Below(entries_.size())
+                            : (caller.entry + 1) % entries_.size();
   ScheduleAfter(caller, not_connected ? Duration(50) : kRetryDelay,
                 &SoakCallers::Send);
 }
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -37,6 +37,9 @@
 
   /// A connection lost with a request open is a violation unless allowed.
   void SetDisconnectsAllowed(bool allowed) { disconnects_allowed_ = allowed; }
+  /// Callers send the kinds of job of the users' sites, wait for an answer for
+  /// their time limit, and then go to any entry.
+  void SetImpatient(bool impatient) { impatient_ = impatient; }
   void StopSubmitting() { stopped_ = true; }
   /// Jobs without a final answer.
   int open_jobs() const { return open_jobs_; }
@@ -46,6 +49,7 @@
   struct Caller;
 
   void SubmitJob(Caller& caller);
+  std::string RandomJob();
   void Send(Caller& caller);
   void OnAnswer(Caller& caller, const HttpOutcome& outcome);
   void ScheduleAfter(Caller& caller, Duration delay,
@@ -60,6 +64,7 @@
   std::vector<std::unique_ptr<Caller>> callers_;
   std::uint64_t next_job_;
   std::atomic<bool> disconnects_allowed_ = true;
+  std::atomic<bool> impatient_ = false;
   std::atomic<bool> stopped_ = false;
   std::atomic<int> open_jobs_ = 0;
   mutable std::mutex mutex_;  ///< Guards totals_.
