Name the jobs without an answer in the soak, and free closed connections

Cause: the soak told only how many jobs had no final answer, and its proxy kept the memory of closed connections until the next fault of their path. Change: both.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -161,6 +161,7 @@
       if (error) return;
       auto connection = std::make_shared<Connection>(
           self->io_, std::move(socket), self->fault_);
+      self->DropClosed();
       self->connections_.push_back(connection);
       connection->Start(self->target_);
       self->Accept();
@@ -168,10 +169,7 @@
   }
 
   void SetFault(const PathFault& fault) {
-    connections_.remove_if([](const auto& item) {
-      const auto connection = item.lock();
-      return connection == nullptr || !connection->is_open();
-    });
+    DropClosed();
     if (fault.single_connection) {
       SetSingleFault(fault);
       return;
@@ -194,6 +192,14 @@
   }
 
  private:
+  // A weak pointer keeps the memory of its connection.
+  void DropClosed() {
+    connections_.remove_if([](const auto& item) {
+      const auto connection = item.lock();
+      return connection == nullptr || !connection->is_open();
+    });
+  }
+
   void SetSingleFault(const PathFault& fault) {
     if (connections_.empty()) return;
     const auto connection = connections_.front().lock();
--- a/tests/soak/process_soak.cc
+++ b/tests/soak/process_soak.cc
@@ -50,10 +50,8 @@
     events_.RunAll();
     CheckRecovery();
     callers.StopSubmitting();
-    if (!WaitFor([&] { return callers.open_jobs() == 0; }, kRecoveryLimit)) {
-      AddViolation(std::to_string(callers.open_jobs()) +
-                   " jobs have no final answer");
-    }
+    (void)WaitFor([&] { return callers.totals().open_jobs.empty(); },
+                  kRecoveryLimit);
     CheckProcesses();
     CollectResults(callers.totals());
     return report_;
@@ -113,6 +111,9 @@
     report_.refused = totals.refused;
     report_.resubmitted = totals.resubmitted;
     for (const std::string& text : totals.violations) AddViolation(text);
+    for (const std::string& job : totals.open_jobs) {
+      AddViolation(job + " has no final answer");
+    }
     const Json worker_report = site_.FetchWorkerReport();
     for (const auto& violation : worker_report.at("violations")) {
       AddViolation(violation.get<std::string>());
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -82,7 +82,10 @@
   caller.job = id;
   caller.body = RandomJob();
   caller.answer_lost = false;
-  ++open_jobs_;
+  {
+    const std::lock_guard lock(mutex_);
+    totals_.open_jobs.insert(caller.job);
+  }
   Send(caller);
 }
 
@@ -121,7 +124,7 @@
   const int status =
       outcome.failure == HttpFailure::kNone ? outcome.response.status : 0;
   if (status == 200 || status == 503) {
-    --open_jobs_;
+    totals_.open_jobs.erase(caller.job);
     if (status == 503) {
       ++totals_.refused;
       if (!caller.answer_lost) totals_.refused_jobs.insert(caller.job);
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -27,6 +27,7 @@
     int refused = 0;
     int resubmitted = 0;
     std::set<std::string> refused_jobs;  ///< At every submission.
+    std::set<std::string> open_jobs;     ///< Without a final answer.
     std::vector<std::string> violations;
   };
 
@@ -41,8 +42,6 @@
   /// their time limit, and then go to any entry.
   void SetImpatient(bool impatient) { impatient_ = impatient; }
   void StopSubmitting() { stopped_ = true; }
-  /// Jobs without a final answer.
-  int open_jobs() const { return open_jobs_; }
   Totals totals() const;
 
  private:
@@ -66,7 +65,6 @@
   std::atomic<bool> disconnects_allowed_ = true;
   std::atomic<bool> impatient_ = false;
   std::atomic<bool> stopped_ = false;
-  std::atomic<int> open_jobs_ = 0;
   mutable std::mutex mutex_;  ///< Guards totals_.
   Totals totals_;
   std::thread thread_;
