--- a/tests/soak/process_fault_series.cc
+++ b/tests/soak/process_fault_series.cc
@@ -24,6 +24,9 @@
 /// Least and greatest share of the machines that stand still at once.
 constexpr double kMinStopped = 0.1;
 constexpr std::size_t kStoppedRangePercent = 50;
+/// Of the standstills: of the whole site, or of the workers, too.
+constexpr double kWholeSiteShare = 0.2;
+constexpr double kStoppedWorkersShare = 0.3;
 /// Two rounds of a series of kills are at most this far apart.
 constexpr std::size_t kKillIntervalMs = 1200;
 constexpr std::size_t kMaxQuickRestartMs = 1000;
@@ -88,18 +91,23 @@
 }
 
 // All that runs on a part of the machines stands still at once; at times the
-// workers, too.
+// workers, too, or the whole site.
 void ProcessFaults::StopMachines(Duration duration) {
+  const bool is_whole = random_.Chance(kWholeSiteShare);
   const double share =
-      kMinStopped +
-      static_cast<double>(random_.Below(kStoppedRangePercent)) / 100;
+      is_whole
+          ? 1
+          : kMinStopped +
+                static_cast<double>(random_.Below(kStoppedRangePercent)) / 100;
   for (const Role role : {Role::kEntry, Role::kAgent}) {
     for (const Target& target : RandomTargets(role, share)) {
       Pause(target, duration);
     }
   }
-  if (!random_.Chance(0.3)) return;
-  const Duration workers = RandomDuration(kMinWorkerStopMs, kWorkerStopRangeMs);
+  if (!is_whole && !random_.Chance(kStoppedWorkersShare)) return;
+  const Duration workers =
+      is_whole ? duration
+               : RandomDuration(kMinWorkerStopMs, kWorkerStopRangeMs);
   RecordFault("pause", "workers for " + std::to_string(workers.ms()) + " ms");
   // Controls of the stand-in would block meanwhile.
   site_.processes().Signal("platform", SIGSTOP);
