Hand a job over though others are waited for, and name these

What callers saw: a job sent again to several entries was answered 504 for as long as its caller kept sending it. Cause: an entry that waited for another one's handover answered no request of its own. Three or more entries could wait for each other in a circle, though no run of the job was left; entries whose callers had gone stayed in it and asked on. Only circles of two were broken. Change: an entry that is asked stops waiting and names those that it waited for; its successor asks these itself, and tells them who has handed the job over to it. An entry whose caller has gone asks no longer. job_handover_asked says by whom.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -29,19 +29,41 @@
 bool StepEntryNode::AskNextHolder(const StepJobId& job, Handover handover,
                                   TimePoint now) {
   std::vector<Incarnation>& holders = handover.others;
-  std::erase_if(holders, [&](Incarnation entry) { return IsLost(entry, now); });
+  std::erase_if(holders, [&](Incarnation entry) {
+    return IsLost(entry, now) || handover.released.contains(entry);
+  });
   if (holders.empty()) return false;
   const Incarnation newest = holders.back();
   holders.pop_back();
   handover.from = newest;
   handover.requested_at = now;
+  SendHandoverRequest(job, handover);
   handovers_[job] = std::move(handover);
-  if (const auto link = LinkOf(newest)) Send(*link, JobHandoverRequest{job});
   Log(LogLevel::kInfo, "job_sent_again",
       {{"job", job.value()}, {"held_by", ToString(newest)}});
   return true;
 }
 
+void StepEntryNode::SendHandoverRequest(const StepJobId& job,
+                                        const Handover& handover) {
+  const auto link = LinkOf(*handover.from);
+  if (!link) return;
+  Send(*link, JobHandoverRequest{
+                  job, {handover.released.begin(), handover.released.end()}});
+}
+
+void StepEntryNode::AddHolder(const StepJobId& job, Handover& handover,
+                              Incarnation entry, TimePoint now) {
+  if (entry == options_.incarnation) return;
+  // One not heard from yet gets the time that any other one has.
+  entry_heard_.try_emplace(entry, now);
+  std::erase(handover.others, entry);
+  handover.others.push_back(entry);
+  std::vector<Incarnation>& known = KeepKnownJob(job, now).holders;
+  std::erase(known, entry);
+  known.push_back(entry);
+}
+
 void StepEntryNode::ContinueHandover(const StepJobId& job, TimePoint now) {
   Handover handover = handovers_.at(job);
   const auto known = known_jobs_.find(job);
@@ -70,10 +92,9 @@
   if (known_jobs_.at(job).querier == entry) return;
   const auto own = handovers_.find(job);
   if (own != handovers_.end()) {
-    std::vector<Incarnation>& others = own->second.others;
     if (own->second.from == entry) return;
-    std::erase(others, entry);
-    others.push_back(entry);
+    own->second.released.erase(entry);
+    AddHolder(job, own->second, entry, now);
   } else if (scheduler_.HasUnansweredJob(job) && options_.incarnation < entry) {
     Log(LogLevel::kWarning, "job_taken_twice",
         {{"job", job.value()}, {"other", ToString(entry)}});
@@ -98,14 +119,19 @@
 }
 
 // A job is handed over to one entry only: a caller that loses two connections
-// in a row has two other entries ask for its job.
+// in a row has two other entries ask for its job. An entry that is asked stops
+// waiting for others and names them instead, so that no circle of entries waits
+// for each other.
 void StepEntryNode::On(LinkId link, const JobHandoverRequest& request,
                        TimePoint now) {
   const Peer& peer = peers_[link];
   if (!peer.hello) return;
   const Incarnation requester = peer.hello->incarnation;
   const std::optional<Incarnation> successor = SuccessorOf(request.job);
-  if (successor && *successor != requester) {
+  const bool is_released =
+      successor && std::find(request.released.begin(), request.released.end(),
+                             *successor) != request.released.end();
+  if (successor && *successor != requester && !is_released) {
     Send(link, JobMoved{request.job, *successor});
     return;
   }
@@ -120,8 +146,8 @@
     known->second.querier.reset();
   }
   scheduler_.Relinquish(request.job, now);
-  Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
-  if (is_mutual) ContinueHandover(request.job, now);
+  Log(LogLevel::kInfo, "job_handover_asked",
+      {{"job", request.job.value()}, {"by", ToString(requester)}});
 }
 
 // Null unless the sender is the one that is asked now: an answer to an earlier
@@ -137,22 +163,29 @@
 
 void StepEntryNode::On(LinkId link, const JobHandedOver& handed,
                        TimePoint now) {
-  if (FindHandover(handed.job, link) != nullptr) {
-    ContinueHandover(handed.job, now);
+  Handover* handover = FindHandover(handed.job, link);
+  if (handover == nullptr) return;
+  handover->released.insert(*handover->from);
+  for (const Incarnation entry : handed.holders) {
+    if (!handover->released.contains(entry)) {
+      AddHolder(handed.job, *handover, entry, now);
+    }
   }
+  ContinueHandover(handed.job, now);
 }
 
 void StepEntryNode::On(LinkId link, const JobMoved& moved, TimePoint now) {
   Handover* handover = FindHandover(moved.job, link);
   if (handover == nullptr) return;
-  std::erase(KeepKnownJob(moved.job, now).holders, *handover->from);
-  handover->from = moved.entry;
   handover->requested_at = now;
-  // An entry not heard from yet gets the time that any other one has.
-  entry_heard_.try_emplace(moved.entry, now);
-  if (const auto next = LinkOf(moved.entry)) {
-    Send(*next, JobHandoverRequest{moved.job});
+  // Else it is asked again, and told that the other one waits no longer.
+  if (!handover->released.contains(moved.entry)) {
+    std::erase(KeepKnownJob(moved.job, now).holders, *handover->from);
+    AddHolder(moved.job, *handover, moved.entry, now);
+    std::erase(handover->others, moved.entry);
+    handover->from = moved.entry;
   }
+  SendHandoverRequest(moved.job, *handover);
 }
 
 void StepEntryNode::EndHandover(const StepJobId& job, bool is_first,
@@ -167,6 +200,11 @@
 // that is cut off from this entry alone still sends them: if it has not noticed
 // that its caller disconnected, a task may run at both (docs/PLATFORM.md).
 void StepEntryNode::CheckHandovers(TimePoint now) {
+  // Nobody here waits for these, and who may have them is known.
+  std::erase_if(handovers_, [&](const auto& item) {
+    return !scheduler_.HasUnansweredJob(item.first) &&
+           !handover_requesters_.contains(item.first);
+  });
   CheckQueries(now);
   std::vector<StepJobId> ended;
   for (auto& [job, handover] : handovers_) {
@@ -178,29 +216,30 @@
     } else if (link && now - handover.requested_at > kHandoverRetryInterval) {
       // The request or its answer was lost with a previous link.
       handover.requested_at = now;
-      Send(*link, JobHandoverRequest{job});
+      SendHandoverRequest(job, handover);
     }
   }
   for (const StepJobId& job : ended) ContinueHandover(job, now);
 }
 
 // The requests, or the answers to them, were lost with an earlier link.
-void StepEntryNode::ResendHandoverRequests(LinkId link, Incarnation entry,
-                                           TimePoint now) {
+void StepEntryNode::ResendHandoverRequests(Incarnation entry, TimePoint now) {
   for (auto& [job, handover] : handovers_) {
     if (handover.queried.contains(entry)) SendQuery(job, entry, now);
     if (handover.from != entry) continue;
     handover.requested_at = now;
-    Send(link, JobHandoverRequest{job});
+    SendHandoverRequest(job, handover);
   }
 }
 
 void StepEntryNode::OnRelinquished(TimePoint now) {
   for (const StepJobId& job : scheduler_.TakeRelinquished()) {
     const auto own = handovers_.find(job);
-    if (own == handovers_.end()) {
+    const bool is_queried = own != handovers_.end() && !own->second.from;
+    if (handover_requesters_.contains(job) && !is_queried) {
       SendHandedOver(job, now);
-    } else if (own->second.from == options_.incarnation) {
+    } else if (own != handovers_.end() &&
+               own->second.from == options_.incarnation) {
       ContinueHandover(job, now);
     }
     // Otherwise the entry that had it before may still have runs of it.
@@ -214,9 +253,23 @@
   handover_requesters_.erase(found);
   KnownJob& known = KeepKnownJob(job, now);
   std::erase(known.holders, requester.entry);
+  JobHandedOver handed{job, known.holders};
+  if (const auto own = handovers_.find(job); own != handovers_.end()) {
+    std::vector<Incarnation> others = std::move(own->second.others);
+    if (own->second.from) others.push_back(*own->second.from);
+    for (const Incarnation entry : others) {
+      std::erase(handed.holders, entry);
+      handed.holders.push_back(entry);
+    }
+    handovers_.erase(own);
+  }
+  std::erase_if(handed.holders, [&](Incarnation entry) {
+    return entry == requester.entry || entry == options_.incarnation ||
+           IsLost(entry, now);
+  });
   known.holders.push_back(requester.entry);
   known.successor = requester.entry;
-  if (peers_.contains(requester.link)) Send(requester.link, JobHandedOver{job});
+  if (peers_.contains(requester.link)) Send(requester.link, std::move(handed));
 }
 
 }  // namespace geranium
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -172,7 +172,7 @@
   entry_heard_[hello.incarnation] = now;
   SendOpenJobs(link, now);
   SendCancelledJobs(link);
-  ResendHandoverRequests(link, hello.incarnation, now);
+  ResendHandoverRequests(hello.incarnation, now);
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
   // Already linked, so no ConnectEntry is needed.
   if (entry_addresses_.insert(hello.link_address).second) {
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -164,6 +164,8 @@
     /// One that knows what all entries have open has answered it.
     bool is_vouched_for = false;
     bool is_first = false;  ///< Nothing was known of the job before.
+    /// Have handed the job over and wait for it no longer.
+    std::set<Incarnation> released = {};
   };
 
   void On(LinkId link, const Hello& hello, TimePoint now);
@@ -200,11 +202,15 @@
   bool IsLost(Incarnation entry, TimePoint now) const;
   Handover* FindHandover(const StepJobId& job, LinkId sender);
   bool AskNextHolder(const StepJobId& job, Handover handover, TimePoint now);
+  void SendHandoverRequest(const StepJobId& job, const Handover& handover);
+  /// Remembers another entry that may have runs of a job held here.
+  void AddHolder(const StepJobId& job, Handover& handover, Incarnation entry,
+                 TimePoint now);
   void OnOtherHolder(const StepJobId& job, Incarnation entry, TimePoint now);
   void CheckHandovers(TimePoint now);
   void CheckQueries(TimePoint now);
   void RestartQueries(TimePoint now);
-  void ResendHandoverRequests(LinkId link, Incarnation entry, TimePoint now);
+  void ResendHandoverRequests(Incarnation entry, TimePoint now);
   void EndHandover(const StepJobId& job, bool is_first, TimePoint now);
   void SendQuery(const StepJobId& job, Incarnation entry, TimePoint now);
   void OnRelinquished(TimePoint now);
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -107,11 +107,7 @@
   Handover& handover = found->second;
   if (handover.queried.erase(sender) == 0) return;
   for (const Incarnation entry : holders.entries) {
-    if (entry == options_.incarnation) continue;
-    // One not heard from yet gets the time that any other one has.
-    entry_heard_.try_emplace(entry, now);
-    std::erase(handover.others, entry);
-    handover.others.push_back(entry);
+    AddHolder(holders.job, handover, entry, now);
   }
   if (holders.knows_all) handover.is_vouched_for = true;
   EndQueryIfDone(holders.job, now);
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -191,10 +191,12 @@
 /// Asks the entry that accepted the job to hand it over.
 struct JobHandoverRequest {
   StepJobId job;
+  /// Entries that have handed it over to the sender: none of them gets it.
+  std::vector<Incarnation> released = {};
 
   template <class A>
   void Fields(A& a) {
-    a(job);
+    a(job)(released);
   }
 };
 
@@ -224,13 +226,15 @@
   }
 };
 
-/// The sender has no running task of the job any more.
+/// The sender has no running task of the job any more, and waits for none.
 struct JobHandedOver {
   StepJobId job;
+  /// Others that may have runs of it as far as the sender knows.
+  std::vector<Incarnation> holders = {};
 
   template <class A>
   void Fields(A& a) {
-    a(job);
+    a(job)(holders);
   }
 };
 
--- a/tests/step_simulator_handover_test.cc
+++ b/tests/step_simulator_handover_test.cc
@@ -87,6 +87,33 @@
   }
 }
 
+// Guards against entries that wait for each other in a circle.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with a job resubmitted to several entries "
+                 "before the first has stopped it, the job completes") {
+  const int last = GENERATE(0, 1, 2, 3);
+  for (const std::int64_t gap : {1, 5, 40, 120, 400}) {
+    StepSimulatorOptions options = OptionsWithoutLoad();
+    StepSimulator simulator(options);
+    simulator.Run(TimePoint(1600));
+    const int job = simulator.Submit(0, LongJob());
+    simulator.At(TimePoint(1900), [&] {
+      for (int i = 0; i < options.workers; ++i) {
+        simulator.FreezeAgent(i, Duration(280));
+      }
+    });
+    TimePoint when(1900);
+    for (const int entry : {1, 2, 3, 1, 0, last}) {
+      simulator.At(
+          when, [&simulator, job, entry] { simulator.Resubmit(job, entry); });
+      when = when + Duration(gap);
+    }
+    simulator.Run(TimePoint(14'000));
+    CAPTURE(last, gap);
+    CheckCompleted(simulator, {job});
+  }
+}
+
 // The job runs at its first entry, whose answer can no longer reach the caller.
 TEST_CASE_METHOD(StepSimulatorTest,
                  "StepSimulator with a running job resubmitted to an entry "
