Start the entries of a simulated site before its agents

An entry that has just started is about to hold its jobs until it knows what others have open. On the users' sites the load begins seconds after that, in the simulator it began 600 ms after all processes had started.

--- a/standins/step_simulator.cc
+++ b/standins/step_simulator.cc
@@ -16,6 +16,9 @@
 constexpr std::uint64_t kCallerSeedOffset = 2'000'003;
 constexpr Duration kTick{10};
 constexpr Duration kAnnounceInterval{1500};
+/// The entries have run for this long when the agents start, so that what they
+/// do only just after a start is over before there is any load.
+constexpr Duration kEntriesAhead{950};
 
 double LogNormal(Random& random, double mean, double spread) {
   std::normal_distribution<double> normal(-spread * spread / 2, spread);
@@ -63,9 +66,14 @@
     (void)kind;
     next_arrival_.push_back(now_ + Duration(600));
   }
+  const TimePoint agent_start = now_;
+  now_ = agent_start - kEntriesAhead;
   for (int i = 0; i < options_.entries; ++i) {
     entries_.push_back(std::make_unique<Entry>());
+    entries_.back()->next_tick = now_;
   }
+  for (int i = 0; i < options_.entries; ++i) StartEntry(i);
+  Run(agent_start, false);
   for (int i = 0; i < options_.workers; ++i) {
     auto agent = std::make_unique<Agent>();
     agent->name = "agent-" + std::to_string(i);
@@ -86,7 +94,6 @@
         });
     agents_.push_back(std::move(agent));
   }
-  for (int i = 0; i < options_.entries; ++i) StartEntry(i);
   for (int i = 0; i < options_.workers; ++i) StartAgent(i);
 }
 
