Query who has a job after a start as after a standstill

What callers saw: tasks of a job ran twice at the same time when it was sent again to an entry that had just restarted.

Cause: a new process knows nothing of the jobs that others, or its own earlier process, have open. It started whatever came before it was linked to the others and had read their open jobs.

Evidence: four tests of the simulator failed before: one entry restarted and sent its own job (sites of 1 and 4 entries), or one that runs at another entry to which it is not linked yet; two entries, or all, restarted together (jobs sent again 60, 150 and 400 ms after the kill).

Change: for kWorkerLostTimeout after its start an entry counts as one that has missed announcements, and queries each job. One that knows all speaks for the others, so a fresh job waits for one round trip. Where nobody can speak, it waits for the rest of that time, and is then started, or refused as not run. By then runs of earlier processes have ended: no lease lasts longer than kLongestEntrySilence (1200 ms) after an entry's last sign of life, which was before the start. A holder that is never linked, such as the earlier process, is given up when the entry that named it names it no more.

Without a route table, an entry says 503 as before, of jobs that it knows nothing of.

The fixtures of the unit tests now begin with entries that have run for more than 1500 ms. No check was changed.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -13,7 +13,7 @@
 
 bool StepEntryNode::BeginHandover(const StepJobId& job, TimePoint now) {
   Handover handover;
-  handover.is_query_due = !UnreadEntries(now).empty();
+  handover.is_query_due = HasMissedAnnouncements(now);
   handover.is_first = !known_jobs_.contains(job);
   if (!handover.is_first) {
     KnownJob& known = known_jobs_.at(job);
@@ -175,10 +175,14 @@
     const Duration silence = now - entry_heard_[*handover.from];
     if (silence > StepScheduler::kWorkerLostTimeout) {
       ended.push_back(job);
-    } else if (link && now - handover.requested_at > kHandoverRetryInterval) {
+    } else if (now - handover.requested_at > kHandoverRetryInterval) {
       // The request or its answer was lost with a previous link.
       handover.requested_at = now;
-      Send(*link, JobHandoverRequest{job});
+      if (link) Send(*link, JobHandoverRequest{job});
+      const auto namer = handover.named_by.find(*handover.from);
+      if (!link && namer != handover.named_by.end()) {
+        SendQuery(job, namer->second, now);
+      }
     }
   }
   for (const StepJobId& job : ended) ContinueHandover(job, now);
--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -69,6 +69,7 @@
 // `kWorkerLostTimeout`.
 void StepEntryNode::AbandonJobsAfterStandstill(TimePoint now) {
   const TimePoint last_active = std::exchange(last_active_, now);
+  if (started_at_ == TimePoint::Never()) BeginStart(now);
   if (last_active == TimePoint::Never()) return;
   const bool was_silent = last_peer_heartbeat_ != TimePoint::Never() &&
                           now - last_peer_heartbeat_ >= kMaxPeerSilence;
@@ -79,6 +80,8 @@
   CollectActions(now);
   // What the others sent meanwhile has not been read yet.
   for (auto& [entry, heard] : entry_heard_) heard = now;
+  // Links that were not up yet are not known to be unread.
+  if (IsStarting(last_active)) BeginStart(now);
   standstill_end_ = now;
   for (const auto& [entry, link] : entry_links_) unread_entries_.insert(entry);
   std::vector<StepJobId> known;
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -48,14 +48,15 @@
     actions_.emplace_back(
         AnswerStepJob{caller, answer, kRetryAfterStart, reason});
   };
-  const bool may_have_run = scheduler_.HasJob(id) || known_jobs_.contains(id) ||
-                            !UnreadEntries(now).empty();
-  const StepAnswer refusal =
-      may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
+  const bool is_known = scheduler_.HasJob(id) || known_jobs_.contains(id);
+  const auto refusal = [](bool may_have_run) {
+    return may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
+  };
   if (!has_table()) {
-    refuse(refusal, "this entry has not received a route table yet");
+    refuse(refusal(is_known), "this entry has not received a route table yet");
     return;
   }
+  const bool may_have_run = is_known || HasMissedAnnouncements(now);
   const Route* route = table_.Find(submission.host, submission.path);
   if (route == nullptr) {
     refuse(StepAnswer::kNoRoute, "no route matches the host and path");
@@ -65,7 +66,8 @@
       now + scheduler_.CriticalPath(submission.job) * kLeaveEstimateMultiple +
               scheduler_.WorkTime(submission.job) >
           *leave_deadline_) {
-    refuse(refusal, "this entry is leaving and may not finish the job in time");
+    refuse(refusal(may_have_run),
+           "this entry is leaving and may not finish the job in time");
     return;
   }
   if (IsCancelled(id)) {
@@ -113,6 +115,7 @@
 // ---- links
 
 void StepEntryNode::OnLinkUp(LinkId link, TimePoint now) {
+  if (started_at_ == TimePoint::Never()) BeginStart(now);
   peers_[link].last_heard = now;
   Hello hello;
   hello.role = ProcessRole::kEntry;
@@ -170,6 +173,7 @@
   }
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
+  ReadFromStart(hello.incarnation, now);
   SendOpenJobs(link, now);
   SendCancelledJobs(link);
   ResendHandoverRequests(link, hello.incarnation, now);
@@ -286,8 +290,7 @@
 
 void StepEntryNode::OnTick(TimePoint now) {
   AbandonJobsAfterStandstill(now);
-  if (!first_tick_) first_tick_ = now;
-  scheduler_.SetDiscovering(now - *first_tick_ < kWorkerDiscoveryTime);
+  scheduler_.SetDiscovering(now - started_at_ < kWorkerDiscoveryTime);
   CheckHandovers(now);
   SendNewMembers(now);
   CloseSilentLinks(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -163,6 +163,9 @@
     std::set<Incarnation> queried = {};
     /// One that knows what all entries have open has answered it.
     bool is_vouched_for = false;
+    /// By whom each of `others` was named: that one knows when it is lost, even
+    /// if this entry was never linked to it.
+    std::map<Incarnation, Incarnation> named_by = {};
     bool is_first = false;  ///< Nothing was known of the job before.
   };
 
@@ -194,6 +197,12 @@
   std::vector<Incarnation> HoldersOf(const StepJobId& job, TimePoint now) const;
   std::set<Incarnation> UnreadEntries(TimePoint now) const;
   bool KnowsAllHolders(TimePoint now) const;
+  /// For a while after a start, jobs that others have may be unknown here, and
+  /// runs of this entry's earlier process may go on.
+  bool IsStarting(TimePoint now) const;
+  bool HasMissedAnnouncements(TimePoint now) const;
+  void BeginStart(TimePoint now);
+  void ReadFromStart(Incarnation entry, TimePoint now);
   void EndQueryIfDone(const StepJobId& job, TimePoint now);
   /// Goes on with the next entry that may have runs of the job, if any.
   void ContinueHandover(const StepJobId& job, TimePoint now);
@@ -235,10 +244,11 @@
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, LinkId> entry_links_;
   std::map<Incarnation, TimePoint> entry_heard_;
-  /// Of what these sent before the last standstill ended, some may not have
-  /// been read yet: they may have jobs that this entry does not know of.
+  /// Of what these sent before the start, or the end of the last standstill,
+  /// some may not have been read yet: they may have jobs that this entry does
+  /// not know of.
   std::set<Incarnation> unread_entries_;
-  TimePoint standstill_end_ = TimePoint::Never();
+  TimePoint standstill_end_ = TimePoint::Never();  ///< Or the start.
   std::set<std::string> entry_addresses_;
   std::unordered_map<StepJobId, KnownJob> known_jobs_;
   std::multimap<TimePoint, StepJobId> known_job_expiry_;
@@ -254,7 +264,7 @@
   TimePoint next_announcement_;
   TimePoint next_reannouncement_;
   std::optional<TimePoint> leave_deadline_;
-  std::optional<TimePoint> first_tick_;
+  TimePoint started_at_ = TimePoint::Never();
   TimePoint last_active_ = TimePoint::Never();  ///< Last tick or message.
   std::vector<StepAction> actions_;
 };
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -3,14 +3,14 @@
 
 #include "entry/step_entry_node.h"
 
-// An entry that stood still has missed announcements. Until it has caught up
-// with all others it asks them of each job.
+// An entry that stood still, or has just started, has missed announcements.
+// Until it has caught up with all others it asks them of each job.
 
 namespace geranium {
 namespace {
 
-/// Entries that can answer have done so this long after a standstill. The
-/// others stand still themselves or are cut off.
+/// Entries that can answer have done so this long after a standstill or a
+/// start. The others stand still themselves or are cut off.
 constexpr Duration kCatchUpTime{50};
 /// Entries asked besides those that this one has not caught up with.
 constexpr std::size_t kVouchers = 3;
@@ -26,8 +26,31 @@
 }
 
 bool StepEntryNode::KnowsAllHolders(TimePoint now) const {
-  return first_tick_ && now - *first_tick_ >= kEntryDiscoveryTime &&
-         UnreadEntries(now).empty();
+  return now - started_at_ >= kEntryDiscoveryTime && UnreadEntries(now).empty();
+}
+
+// Whoever ran something before this process started has been heard from by now,
+// or counts as lost.
+bool StepEntryNode::IsStarting(TimePoint now) const {
+  return now - started_at_ <= StepScheduler::kWorkerLostTimeout;
+}
+
+bool StepEntryNode::HasMissedAnnouncements(TimePoint now) const {
+  return IsStarting(now) || !UnreadEntries(now).empty();
+}
+
+void StepEntryNode::BeginStart(TimePoint now) {
+  started_at_ = now;
+  standstill_end_ = now;
+}
+
+// Its open jobs come first on a link, and its echo behind them.
+void StepEntryNode::ReadFromStart(Incarnation entry, TimePoint now) {
+  if (now - started_at_ >= kEntryDiscoveryTime) return;
+  unread_entries_.insert(entry);
+  for (auto& [job, handover] : handovers_) {
+    if (!handover.from) handover.queried.insert(entry);
+  }
 }
 
 // Different ones for different jobs.
@@ -103,8 +126,18 @@
   // What it sent before has been read.
   unread_entries_.erase(sender);
   const auto found = handovers_.find(holders.job);
-  if (found == handovers_.end() || found->second.from) return;
+  if (found == handovers_.end()) return;
   Handover& handover = found->second;
+  if (handover.from) {
+    const auto namer = handover.named_by.find(*handover.from);
+    const bool is_gone =
+        namer != handover.named_by.end() && namer->second == sender &&
+        !LinkOf(*handover.from) &&
+        std::find(holders.entries.begin(), holders.entries.end(),
+                  *handover.from) == holders.entries.end();
+    if (is_gone) ContinueHandover(holders.job, now);
+    return;
+  }
   if (handover.queried.erase(sender) == 0) return;
   for (const Incarnation entry : holders.entries) {
     if (entry == options_.incarnation) continue;
@@ -112,6 +145,7 @@
     entry_heard_.try_emplace(entry, now);
     std::erase(handover.others, entry);
     handover.others.push_back(entry);
+    if (holders.knows_all) handover.named_by[entry] = sender;
   }
   if (holders.knows_all) handover.is_vouched_for = true;
   EndQueryIfDone(holders.job, now);
@@ -123,7 +157,8 @@
                 [&](Incarnation entry) { return IsLost(entry, now); });
   const bool caught_up = now - standstill_end_ >= kCatchUpTime;
   const bool vouched_for = handover.is_vouched_for && caught_up;
-  if (!handover.queried.empty() && !vouched_for) return;
+  const bool is_open = !handover.queried.empty() || IsStarting(now);
+  if (is_open && !vouched_for) return;
   // One that has asked for the job meanwhile gets it from here.
   if (const auto requester = handover_requesters_.find(job);
       requester != handover_requesters_.end()) {
--- a/tests/step_entry_crashes_test.cc
+++ b/tests/step_entry_crashes_test.cc
@@ -42,7 +42,7 @@
       Receive(LinkId(i), card);
     }
     Advance(Duration(1));
-    Advance(Duration(4000));
+    for (int i = 0; i < 8; ++i) Advance(Duration(500));
     (void)Take();
   }
 
--- a/tests/step_entry_node_fixture.h
+++ b/tests/step_entry_node_fixture.h
@@ -11,10 +11,12 @@
 
 namespace geranium {
 
-/// An entry that is linked to two others and to the agent of one worker.
+/// An entry that is linked to two others and to the agent of one worker, and no
+/// longer counts as just started.
 class StepEntryNodeTest {
  protected:
-  explicit StepEntryNodeTest(Incarnation own = Incarnation(1))
+  explicit StepEntryNodeTest(Incarnation own = Incarnation(1),
+                             Duration age = Duration(1600))
       : node_(Options(own)) {
     RouteTable table;
     table.version = 1;
@@ -29,8 +31,9 @@
     node_.OnRouteTable(table, "operator", now_);
     LinkEntry(kSecond);
     LinkEntry(kThird);
+    Run(age);
     LinkAgent(kAgent);
-    (void)node_.TakeActions();
+    actions_.clear();
   }
 
   static StepEntryOptions Options(Incarnation own) {
--- a/tests/step_entry_queries_test.cc
+++ b/tests/step_entry_queries_test.cc
@@ -5,6 +5,9 @@
 
 class StepEntryQueriesTest : public StepEntryNodeTest {
  protected:
+  explicit StepEntryQueriesTest(Duration age = Duration(1600))
+      : StepEntryNodeTest(Incarnation(1), age) {}
+
   void StandStill() {
     now_ = now_ + StepScheduler::kWorkerLostTimeout;
     Advance(Duration(1));
@@ -196,5 +199,87 @@
   CHECK(Sent<Heartbeat>(kSecond).size() == 1);
 }
 
+class JustStartedEntryTest : public StepEntryQueriesTest {
+ protected:
+  JustStartedEntryTest() : StepEntryQueriesTest(Duration(0)) {}
+};
+
+// Guards against a job that runs at an entry that is not linked yet.
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that has just started starts a job once an "
+                 "entry that missed nothing knows of no holder") {
+  PassCatchUpTime();
+  Submit(1);
+  AnswerQuery(kThird, {}, false);
+  CHECK(Sent<StartTask>(kAgent).empty());
+  AnswerQuery(kSecond, {}, true);
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+// Guards against runs of its earlier process, and against a wait without end.
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that has just started where nobody knows all "
+                 "starts a job when runs from before have ended") {
+  PassCatchUpTime();
+  Submit(1);
+  AnswerQuery(kSecond, {}, false);
+  AnswerQuery(kThird, {}, false);
+  Run(Duration(1400));
+  CHECK(Sent<StartTask>(kAgent).empty());
+  Run(Duration(100));
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that has just started where nobody knows all "
+                 "refuses a job as not run if no worker is free") {
+  PassCatchUpTime();
+  Submit(1);
+  AnswerQuery(kSecond, {}, false);
+  AnswerQuery(kThird, {}, false);
+  WorkerReport full;
+  full.accepting = true;
+  Receive(kAgent, full);
+  Run(Duration(9000));
+  CHECK(AnswerTo(1) == StepAnswer::kRefused);
+}
+
+// Guards against a process that stalls before it is linked to all others.
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that stands still just after its start counts "
+                 "as just started again") {
+  node_.OnLinkDown(kSecond, now_);
+  node_.OnLinkDown(kThird, now_);
+  StandStill();
+  Submit(1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+}
+
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode without a route table refuses jobs that it "
+                 "knows nothing of as not run") {
+  node_ = StepEntryNode(Options(Incarnation(1)));
+  Submit(1);
+  CHECK(AnswerTo(1) == StepAnswer::kRefused);
+}
+
+// Guards against a wait for an entry that has been dead for long.
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that waits for an entry never linked goes on "
+                 "when the one that named it names it no more") {
+  const Incarnation dead(7);
+  PassCatchUpTime();
+  Submit(1);
+  AnswerQuery(kSecond, {dead}, true);
+  Run(Duration(400));
+  REQUIRE(Sent<JobHoldersQuery>(kSecond).size() > 1);
+  AnswerQuery(kThird, {}, true);
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).empty());
+  AnswerQuery(kSecond, {}, true);
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
