--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -13,7 +13,7 @@
 
 bool StepEntryNode::BeginHandover(const StepJobId& job, TimePoint now) {
   Handover handover;
-  handover.is_query_due = !UnreadEntries(now).empty();
+  handover.is_query_due = HasMissedAnnouncements(now);
   handover.is_first = !known_jobs_.contains(job);
   if (!handover.is_first) {
     KnownJob& known = known_jobs_.at(job);
@@ -167,9 +167,9 @@
   if (handover == nullptr) return;
   handover->released.insert(*handover->from);
   for (const Incarnation entry : handed.holders) {
-    if (!handover->released.contains(entry)) {
-      AddHolder(handed.job, *handover, entry, now);
-    }
+    if (handover->released.contains(entry)) continue;
+    AddHolder(handed.job, *handover, entry, now);
+    handover->named_by.try_emplace(entry, *handover->from);
   }
   ContinueHandover(handed.job, now);
 }
@@ -209,14 +209,17 @@
   std::vector<StepJobId> ended;
   for (auto& [job, handover] : handovers_) {
     if (!handover.from || handover.from == options_.incarnation) continue;
-    const std::optional<LinkId> link = LinkOf(*handover.from);
     const Duration silence = now - entry_heard_[*handover.from];
     if (silence > StepScheduler::kWorkerLostTimeout) {
       ended.push_back(job);
-    } else if (link && now - handover.requested_at > kHandoverRetryInterval) {
+    } else if (now - handover.requested_at > kHandoverRetryInterval) {
       // The request or its answer was lost with a previous link.
       handover.requested_at = now;
       SendHandoverRequest(job, handover);
+      const auto namer = handover.named_by.find(*handover.from);
+      if (!LinkOf(*handover.from) && namer != handover.named_by.end()) {
+        SendQuery(job, namer->second, now);
+      }
     }
   }
   for (const StepJobId& job : ended) ContinueHandover(job, now);
@@ -236,11 +239,12 @@
   for (const StepJobId& job : scheduler_.TakeRelinquished()) {
     const auto own = handovers_.find(job);
     const bool is_queried = own != handovers_.end() && !own->second.from;
-    if (handover_requesters_.contains(job) && !is_queried) {
-      SendHandedOver(job, now);
-    } else if (own != handovers_.end() &&
-               own->second.from == options_.incarnation) {
+    const bool is_own =
+        own != handovers_.end() && own->second.from == options_.incarnation;
+    if (is_own && scheduler_.HasUnansweredJob(job)) {
       ContinueHandover(job, now);
+    } else if (!is_queried) {
+      SendHandedOver(job, now);
     }
     // Otherwise the entry that had it before may still have runs of it.
   }
