--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -116,15 +116,17 @@
             {"mem-mb", self.capacity.memory_mb},
             {"gpu",
              0}}}}.dump();
-      client_.Start(
-          std::move(call), [this, &endpoint, draining = self.draining](
-                               const HttpOutcome& outcome) {
-            const bool accepted = outcome.failure == HttpFailure::kNone &&
-                                  outcome.response.status == 200;
-            if (accepted && draining && !endpoint.draining_since) {
-              endpoint.draining_since = clock_.Now();
-            }
-          });
+      client_.Start(std::move(call), [this, &endpoint,
+                                      draining = self.draining](
+                                         const HttpOutcome& outcome) {
+        const bool accepted = outcome.failure == HttpFailure::kNone &&
+                              outcome.response.status == 200;
+        // A late answer may be to a worker that has been replaced since.
+        const bool is_current = endpoint.worker->self().draining;
+        if (accepted && draining && is_current && !endpoint.draining_since) {
+          endpoint.draining_since = clock_.Now();
+        }
+      });
     }
     endpoint.heartbeat->expires_after(kHeartbeatInterval);
     endpoint.heartbeat->async_wait([this, &endpoint](const auto& error) {
