--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -40,7 +40,13 @@
     "worker_crashed",
     "jobs_cancelled",
     "job_holders_query",
-    "job_holders"};
+    "job_holders",
+    "claim_job",
+    "claim_answer",
+    "claim_wanted",
+    "claim_end",
+    "claim_yield",
+    "open_claims"};
 
 }  // namespace
 
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -256,6 +256,83 @@
   }
 };
 
+/// Claims the right to start a job at one of its registrars.
+struct ClaimJob {
+  StepJobId job;
+  std::uint64_t number = 0;  ///< Grows with each claim of the sender.
+  TimePoint sent_at;         ///< On the sender's clock.
+  bool held = false;         ///< A majority has granted it: it may have runs.
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(number)(sent_at)(held);
+  }
+};
+
+enum class ClaimState {
+  kGranted,
+  kHeld,    ///< By another entry, which is told that the job is wanted.
+  kClosed,  ///< The registrar has just started and grants nothing yet.
+};
+
+struct ClaimAnswer {
+  StepJobId job;
+  std::uint64_t number = 0;
+  TimePoint claim_sent_at;
+  ClaimState state = ClaimState::kClosed;
+  Incarnation holder;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(number)(claim_sent_at)(state)(holder);
+  }
+};
+
+/// Tells the holder of a claim that another entry waits for the job.
+struct ClaimWanted {
+  StepJobId job;
+  std::uint64_t number = 0;  ///< Of the holder's claim.
+  Incarnation by;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(number)(by);
+  }
+};
+
+/// The sender has no run of the job left, or withdraws its claim.
+struct ClaimEnd {
+  StepJobId job;
+  std::uint64_t number = 0;
+
+  template <class A>
+  void Fields(A& a) {
+    a(job)(number);
+  }
+};
+
+/// Ends the sender's claim and claims the job again, behind all that wait.
+struct ClaimYield {
+  ClaimJob next;
+
+  template <class A>
+  void Fields(A& a) {
+    a(next);
+  }
+};
+
+/// All claims of the sender at the receiver, on each new link.
+struct OpenClaims {
+  std::vector<ClaimJob> claims;
+  /// Heard lately of an earlier process at the receiver's address.
+  bool knew_predecessor = false;
+
+  template <class A>
+  void Fields(A& a) {
+    a(claims)(knew_predecessor);
+  }
+};
+
 }  // namespace geranium
 
 #endif  // GERANIUM_LINK_STEP_MESSAGES_H_
