--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -67,6 +67,9 @@
       "rack", "workers in a rack", cxxopts::value<int>()->default_value("3"))(
       "slow", "factor by which worker 2 is slow, from half of the length on",
       cxxopts::value<double>()->default_value("1"))(
+      "no-claims", "entries start jobs without claims")(
+      "kill-entries", "entries killed for good at half of the length",
+      cxxopts::value<int>()->default_value("0"))(
       "hang", "worker 5 hangs, from half of the length on");
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
@@ -96,6 +99,7 @@
   world_options.scheduler.urgent_reserve =
       parsed["urgent-reserve"].as<double>();
   world_options.scheduler.local_reserve = parsed["local-reserve"].as<double>();
+  world_options.uses_claims = parsed.count("no-claims") == 0;
   StepSimulator world(world_options);
   for (int i = 0; i < world_options.workers; ++i) {
     world.faults(i).unanswered = parsed["unanswered"].as<double>();
@@ -104,6 +108,9 @@
   world.At(TimePoint((1600 + end.ms()) / 2), [&] {
     world.faults(2).slowdown = parsed["slow"].as<double>();
     world.faults(5).hangs = parsed.count("hang") > 0;
+    for (int i = 0; i < parsed["kill-entries"].as<int>(); ++i) {
+      world.KillEntry(i, Duration(3'600'000));
+    }
   });
   std::cout << std::fixed << std::setprecision(2)
             << "   ms  busy reserved  open  asked in objective late refused\n";
@@ -149,7 +156,17 @@
               << ", useless " << report.too_late << ", refused "
               << report.refused << ", failed " << report.failed << ", worth "
               << report.Utility() << "\n";
+    const auto latencies = world.Latencies(name);
+    if (latencies.empty()) continue;
+    std::cout << "  latency ms: median "
+              << latencies[latencies.size() / 2].ms() << ", 90 % "
+              << latencies[latencies.size() * 9 / 10].ms() << ", 99 % "
+              << latencies[latencies.size() * 99 / 100].ms() << "\n";
+  }
+  for (const auto& [name, count] : world.message_counts()) {
+    std::cout << name << " " << count << ", ";
   }
+  std::cout << "\n";
   std::cout << "worth " << world.Utility() << ", violations "
             << world.violations().size() << "\n";
   return world.violations().empty() ? 0 : 1;
--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -74,6 +74,8 @@
     if (own->second.from == entry) return;
     std::erase(others, entry);
     others.push_back(entry);
+  } else if (options_.uses_claims) {
+    // The registrars decide which of the two starts it.
   } else if (scheduler_.HasUnansweredJob(job) && options_.incarnation < entry) {
     Log(LogLevel::kWarning, "job_taken_twice",
         {{"job", job.value()}, {"other", ToString(entry)}});
@@ -111,7 +113,8 @@
   }
   const auto own = handovers_.find(request.job);
   const bool is_mutual =
-      own != handovers_.end() && own->second.from == requester;
+      (own != handovers_.end() && own->second.from == requester) ||
+      WaitsForClaimOf(request.job, requester);
   // Of two entries that wait for each other, one gives the job up.
   if (is_mutual && requester < options_.incarnation) return;
   handover_requesters_[request.job] = HandoverRequester{requester, link};
@@ -121,7 +124,9 @@
   }
   scheduler_.Relinquish(request.job, now);
   Log(LogLevel::kInfo, "job_handover_asked", {{"job", request.job.value()}});
-  if (is_mutual) ContinueHandover(request.job, now);
+  if (own != handovers_.end() && own->second.from == requester) {
+    ContinueHandover(request.job, now);
+  }
 }
 
 // Null unless the sender is the one that is asked now: an answer to an earlier
@@ -158,7 +163,12 @@
 void StepEntryNode::EndHandover(const StepJobId& job, bool is_first,
                                 TimePoint now) {
   handovers_.erase(job);
-  scheduler_.Release(job, is_first, now);
+  if (MayStart(job)) {
+    scheduler_.Release(job, is_first, now);
+  } else if (const auto claim = claims_.find(job);
+             is_first && claim != claims_.end() && !claim->second.was_refused) {
+    scheduler_.MarkFirst(job);
+  }
   if (!scheduler_.HasJob(job)) SendHandedOver(job, now);
 }
 
@@ -197,6 +207,7 @@
 
 void StepEntryNode::OnRelinquished(TimePoint now) {
   for (const StepJobId& job : scheduler_.TakeRelinquished()) {
+    EndRelinquishedClaim(job, now);
     const auto own = handovers_.find(job);
     if (own == handovers_.end()) {
       SendHandedOver(job, now);
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -78,10 +78,14 @@
     handovers_.try_emplace(id, Handover{options_.incarnation, now, {}});
   }
   const bool held = handovers_.contains(id) || BeginHandover(id, now);
+  const bool may_start = MayStart(id);
   const Duration caller_timeout =
       submission.caller_timeout.value_or(kDefaultCallerTimeout);
   scheduler_.Submit(caller, std::move(submission.job), *route, caller_timeout,
-                    {may_have_run || held, held}, now);
+                    {may_have_run || held, held || !may_start}, now);
+  if (options_.uses_claims && scheduler_.HasUnansweredJob(id)) {
+    BeginClaim(id, now);
+  }
   if (scheduler_.HasJob(id)) unannounced_.push_back(id);
   // Another copy may be on its way to an entry that knows nothing of the job.
   if (may_have_run || now >= next_announcement_) AnnounceJobs(now);
@@ -143,6 +147,7 @@
 void StepEntryNode::OnMessage(LinkId link, const Message& message,
                               TimePoint now) {
   AbandonJobsAfterStandstill(now);
+  CheckClaims(now);
   const auto peer = peers_.find(link);
   if (peer == peers_.end()) return;
   peer->second.last_heard = now;
@@ -154,6 +159,9 @@
     }
   }
   std::visit([&](const auto& typed) { On(link, typed, now); }, message);
+  if (peer->second.hello) {
+    OnClaimMessage(peer->second.hello->incarnation, message, now);
+  }
 }
 
 void StepEntryNode::OnFrameEnd(TimePoint now) {
@@ -170,6 +178,7 @@
   }
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
+  OnEntryLinked(hello, now);
   SendOpenJobs(link, now);
   SendCancelledJobs(link);
   ResendHandoverRequests(link, hello.incarnation, now);
@@ -225,8 +234,11 @@
   peer.newest_sent_at = heartbeat.sent_at;
   if (awaits_echo) SendHeartbeat(link, peer, now);
   // Sent after all that it had sent before.
-  if (peer.hello && heartbeat.echo && *heartbeat.echo >= standstill_end_) {
-    unread_entries_.erase(peer.hello->incarnation);
+  if (peer.hello && heartbeat.echo) {
+    const Incarnation sender = peer.hello->incarnation;
+    if (*heartbeat.echo >= standstill_end_) unread_entries_.erase(sender);
+    TimePoint& proof = proofs_.try_emplace(sender, *heartbeat.echo).first->second;
+    proof = std::max(proof, *heartbeat.echo);
   }
   const bool behind = heartbeat.version.value() > table_.offset.value();
   if (!from_entry || !behind || peer.pull_sent) return;
@@ -289,6 +301,7 @@
   if (!first_tick_) first_tick_ = now;
   scheduler_.SetDiscovering(now - *first_tick_ < kWorkerDiscoveryTime);
   CheckHandovers(now);
+  CheckClaims(now);
   SendNewMembers(now);
   CloseSilentLinks(now);
   SendHeartbeats(now);
@@ -301,7 +314,8 @@
   TimePoint next = std::min(next_heartbeat_, next_peer_heartbeat_);
   if (!new_members_.empty()) next = std::min(next, next_members_);
   if (!unannounced_.empty()) next = std::min(next, next_announcement_);
-  if (scheduler_.has_waiting_tasks() || !handovers_.empty()) {
+  if (scheduler_.has_waiting_tasks() || !handovers_.empty() ||
+      !claims_.empty()) {
     next = std::min(next, now + kWaitingTasksInterval);
   }
   return std::max(next - now, Duration(1));
@@ -353,7 +367,10 @@
 }
 
 void StepEntryNode::CollectActions(TimePoint now) {
+  HandleOwnMessages(now);
   OnRelinquished(now);
+  EndClosedClaims();
+  HandleOwnMessages(now);
   for (const StepJobId& job : scheduler_.TakeEnded()) {
     KeepKnownJob(job, now);
   }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_ENTRY_STEP_ENTRY_NODE_H_
 #define GERANIUM_ENTRY_STEP_ENTRY_NODE_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 #include "base/ids.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
+#include "entry/job_registrar.h"
 #include "entry/step_actions.h"
 #include "entry/step_scheduler.h"
 #include "link/messages.h"
@@ -23,6 +25,9 @@
   Incarnation incarnation;
   std::string link_address;
   StepSchedulerOptions scheduler;
+  /// A job is started only once a majority of its registrars, entries chosen
+  /// by its id, has granted it.
+  bool uses_claims = false;
 };
 
 /// A job as received from its caller, before its route is looked up.
@@ -71,6 +76,15 @@
   static constexpr Duration kMaxPeerSilence =
       kMaxStandstill + kPeerHeartbeatInterval;
 
+  /// A registrar's grant counts for this long after the last message that it
+  /// is known to have got from this entry: more than a heartbeat, its echo and
+  /// a silence of 500 ms.
+  static constexpr Duration kClaimProofTimeout{1100};
+  /// A registrar ends the claims of an entry that it has not heard from for
+  /// this long: by then the runs that the entry gave up have been stopped, or
+  /// their agents have taken it for lost.
+  static constexpr Duration kClaimExpiry{2500};
+
   explicit StepEntryNode(StepEntryOptions options);
 
   /// Connects to the entries listed in the settings at start.
@@ -113,6 +127,7 @@
 
   const RouteTable& table() const { return table_; }
   const StepScheduler& scheduler() const { return scheduler_; }
+  std::uint64_t lost_claims() const { return lost_claims_; }
   /// The route that a path matches; null if none.
   const Route* FindRoute(const std::string& host,
                          const std::string& path) const {
@@ -166,6 +181,35 @@
     bool is_first = false;  ///< Nothing was known of the job before.
   };
 
+  enum class VoteState { kAsked, kGranted, kHeld, kClosed };
+  /// One registrar's answer to a claim.
+  struct ClaimVote {
+    std::string registrar;  ///< By link address.
+    VoteState state = VoteState::kAsked;
+    std::uint64_t number = 0;
+    Incarnation entry;   ///< That granted it.
+    Incarnation holder;  ///< If it is held.
+    /// Send time of the newest message that it is known to have got.
+    TimePoint proof = TimePoint::Never();
+    TimePoint asked_at = TimePoint::Never();
+    TimePoint answered_at = TimePoint::Never();
+    bool has_yielded = false;
+  };
+  struct Claim {
+    std::vector<ClaimVote> votes;
+    TimePoint begun;
+    bool held = false;    ///< A majority has granted it.
+    bool ending = false;  ///< Nothing more is started; ends with its runs.
+    bool is_wanted = false;
+    bool was_refused = false;
+    bool is_outvoted = false;
+  };
+  /// The processes at a link address.
+  struct EntriesAt {
+    Incarnation current;
+    Incarnation previous;
+  };
+
   void On(LinkId link, const Hello& hello, TimePoint now);
   void On(LinkId link, const Members& members, TimePoint now);
   void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
@@ -186,6 +230,36 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
+  std::vector<std::string> RegistrarsOf(const StepJobId& job) const;
+  std::optional<Incarnation> EntryAt(const std::string& address) const;
+  const std::string& AddressOf(Incarnation entry) const;
+  void SendToEntry(Incarnation entry, Message message);
+  void HandleOwnMessages(TimePoint now);
+  void OnClaimMessage(Incarnation from, const Message& message, TimePoint now);
+  bool MayStart(const StepJobId& job) const;
+  bool WaitsForClaimOf(const StepJobId& job, Incarnation entry) const;
+  void BeginClaim(const StepJobId& job, TimePoint now);
+  void SendClaim(const StepJobId& job, const Claim& claim, ClaimVote& vote,
+                 TimePoint now);
+  void OnClaimAnswer(Incarnation from, const ClaimAnswer& answer,
+                     TimePoint now);
+  void UpdateClaim(const StepJobId& job, Claim& claim, TimePoint now);
+  void YieldIfOutvoted(const StepJobId& job, Claim& claim, TimePoint now);
+  void OnClaimWanted(Incarnation from, const ClaimWanted& wanted,
+                     TimePoint now);
+  void LoseClaim(const StepJobId& job, Claim& claim, TimePoint now);
+  void EndClaim(const StepJobId& job);
+  void EndRelinquishedClaim(const StepJobId& job, TimePoint now);
+  void EndClosedClaims();
+  void CheckClaims(TimePoint now);
+  void CheckClaim(const StepJobId& job, Claim& claim, TimePoint now);
+  bool IsRegistrarOpen(TimePoint now) const;
+  void Register(Incarnation from, const ClaimJob& claim, TimePoint now);
+  void TellGranted(const StepJobId& job);
+  void CheckRegistrar(TimePoint now);
+  void OnEntryLinked(const Hello& hello, TimePoint now);
+  void OnOpenClaims(Incarnation from, const OpenClaims& open, TimePoint now);
+
   void AbandonJobsAfterStandstill(TimePoint now);
   /// Returns false if no other entry can have runs of the job.
   bool BeginHandover(const StepJobId& job, TimePoint now);
@@ -256,6 +330,18 @@
   std::optional<TimePoint> leave_deadline_;
   std::optional<TimePoint> first_tick_;
   TimePoint last_active_ = TimePoint::Never();  ///< Last tick or message.
+  std::unordered_map<StepJobId, Claim> claims_;
+  std::uint64_t next_claim_number_ = 1;
+  std::uint64_t lost_claims_ = 0;
+  TimePoint next_claim_check_ = TimePoint::Never();
+  /// Send time of the newest heartbeat that each entry has echoed.
+  std::map<Incarnation, TimePoint> proofs_;
+  JobRegistrar registrar_;
+  bool is_registrar_open_ = false;
+  bool had_predecessor_ = false;
+  std::set<std::string> told_by_;  ///< Entries that sent their open claims.
+  std::map<std::string, EntriesAt> entries_at_;
+  std::deque<Message> own_messages_;
   std::vector<StepAction> actions_;
 };
 
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -31,6 +31,10 @@
   return std::exchange(ended_, {});
 }
 
+std::vector<StepJobId> StepScheduler::TakeClosed() {
+  return std::exchange(closed_, {});
+}
+
 // ---- admission
 
 std::string StepScheduler::UnsupportedReason(const StepJob& job,
@@ -266,6 +270,21 @@
   PlaceWaitingTasks(now);
 }
 
+void StepScheduler::SetMayHaveRun(const StepJobId& id, bool may_have_run) {
+  const auto found = by_id_.find(id);
+  if (found != by_id_.end()) jobs_.at(found->second).may_have_run = may_have_run;
+}
+
+void StepScheduler::RefuseHeld(const StepJobId& id, const std::string& reason,
+                               TimePoint now) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  const JobNumber number = found->second;
+  Job& job = jobs_.at(number);
+  Answer(job, RefusalOf(job), kRetryAfter, reason, now);
+  EraseIfDone(number);
+}
+
 void StepScheduler::Relinquish(const StepJobId& id, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) {
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -92,6 +92,12 @@
   /// Allows a held job to be dispatched; `is_first` if nothing of it can have
   /// run before, so that it may still be refused.
   void Release(const StepJobId& id, bool is_first, TimePoint now);
+  /// As released with `is_first`, while the job stays held.
+  void MarkFirst(const StepJobId& id) { SetMayHaveRun(id, false); }
+  void MarkMayHaveRun(const StepJobId& id) { SetMayHaveRun(id, true); }
+  /// Answers a held job of which nothing has started here.
+  void RefuseHeld(const StepJobId& id, const std::string& reason,
+                  TimePoint now);
   /// Abandons all submissions of the job so that another one can run;
   /// `TakeRelinquished` returns it once no attempt of any of them is open.
   void Relinquish(const StepJobId& id, TimePoint now);
@@ -103,6 +109,8 @@
   Duration WorkTime(const StepJob& job) const;
   /// Jobs answered since the last call of which a task may have run.
   std::vector<StepJobId> TakeEnded();
+  /// Jobs of which a submission and all its runs have ended since.
+  std::vector<StepJobId> TakeClosed();
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
   /// True also while only runs of relinquished submissions are open.
   bool MayHaveRuns(const StepJobId& id) const {
@@ -232,6 +240,7 @@
   }
   Backlog EstimateBacklog(int priority) const;
   static StepAnswer RefusalOf(const Job& job);
+  void SetMayHaveRun(const StepJobId& id, bool may_have_run);
   double CapacityShare(TimePoint now) const;
   void RequeueLateJobs(TimePoint now);
   std::string UnsupportedReason(const StepJob& job, const Route& route) const;
@@ -333,6 +342,7 @@
   double capacity_share_ = 0;
   std::vector<StepJobId> relinquished_;
   std::vector<StepJobId> ended_;
+  std::vector<StepJobId> closed_;
   StepCounters counters_;
   std::vector<StepAction> actions_;
 };
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -173,6 +173,7 @@
   if (!job.answered) return;
   queue_.erase(QueueKeyOf(job, number));
   if (job.open_attempts > 0) return;
+  closed_.push_back(job.spec.id);
   if (job.relinquished) {
     const auto relinquished = being_relinquished_.find(job.spec.id);
     if (--relinquished->second == 0) {
--- a/standins/step_simulator.cc
+++ b/standins/step_simulator.cc
@@ -299,6 +299,16 @@
   return reports;
 }
 
+std::vector<Duration> StepSimulator::Latencies(const std::string& kind) const {
+  std::vector<Duration> latencies;
+  for (const auto& job : jobs_) {
+    if (job->kind.name != kind || !job->done_at) continue;
+    latencies.push_back(*job->done_at - job->submitted_at);
+  }
+  std::sort(latencies.begin(), latencies.end());
+  return latencies;
+}
+
 double StepSimulator::Utility() const {
   const auto reports = Report();
   double sum = 0;
--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -51,6 +51,7 @@
   Resources worker_capacity{36, 65536, 0};
   std::vector<LoadClass> load;
   StepSchedulerOptions scheduler;  ///< Identity fields are set per entry.
+  bool uses_claims = true;         ///< See StepEntryOptions.
   std::size_t entry_links = 4;     ///< Per agent.
   Duration caller_delay{3};
   Duration link_delay{1};
@@ -180,6 +181,12 @@
   std::vector<std::string> LogOfViolatedJobs() const;
   /// Number of messages logged so far with this event name.
   int CountLogMessages(const std::string& event) const;
+  /// Messages sent on links so far, by name.
+  const std::map<std::string, int>& message_counts() const {
+    return message_counts_;
+  }
+  /// From submission to completion, of the completed jobs of a class; sorted.
+  std::vector<Duration> Latencies(const std::string& kind) const;
 
  private:
   struct Agent;
@@ -256,6 +263,7 @@
   std::uint64_t starts_ = 0;
   std::map<std::string, int> crashes_;  ///< By the task that ran.
   std::map<std::string, int> log_message_counts_;
+  std::map<std::string, int> message_counts_;
   bool with_load_ = true;
   double copied_share_ = 0;
   Duration least_copy_delay_;
--- a/standins/step_simulator_links.cc
+++ b/standins/step_simulator_links.cc
@@ -29,6 +29,7 @@
   options.id = EntryId("entry-" + std::to_string(index));
   options.incarnation = Incarnation(next_incarnation_++);
   options.link_address = EntryAddress(index);
+  options.uses_claims = options_.uses_claims;
   options.scheduler = options_.scheduler;
   options.scheduler.incarnation = options.incarnation;
   options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
@@ -37,6 +38,11 @@
   ++entry.incarnation;
   entry.callers.clear();
   entry.node->OnRouteTable(MakeRouteTable(), "operator", now_);
+  std::vector<std::string> addresses;
+  for (int i = 0; i < options_.entries; ++i) {
+    addresses.push_back(EntryAddress(i));
+  }
+  entry.node->AddConfiguredEntries(addresses);
   for (int i = 0; i < options_.entries; ++i) {
     if (i != index) DialEntry(index, i);
   }
@@ -224,6 +230,7 @@
   LinkEnds& ends = found->second;
   const bool sender_open = to_second ? ends.first_open : ends.second_open;
   if (message && !sender_open) return;
+  if (message) ++message_counts_[std::string(MessageName(*message))];
   LinkEnds::Direction& direction = to_second ? ends.to_second : ends.to_first;
   const TimePoint when = now_ + options_.link_delay;
   direction.arrivals.push_back({when, std::move(message)});
