--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -68,6 +68,8 @@
       "slow", "factor by which worker 2 is slow, from half of the length on",
       cxxopts::value<double>()->default_value("1"))(
       "no-claims", "entries start jobs without claims")(
+      "registrar-agents", "agents that are registrars; 0: entries are",
+      cxxopts::value<int>()->default_value("0"))(
       "kill-entries", "entries killed for good at half of the length",
       cxxopts::value<int>()->default_value("0"))(
       "hang", "worker 5 hangs, from half of the length on");
@@ -100,6 +102,7 @@
       parsed["urgent-reserve"].as<double>();
   world_options.scheduler.local_reserve = parsed["local-reserve"].as<double>();
   world_options.uses_claims = parsed.count("no-claims") == 0;
+  world_options.registrar_agents = parsed["registrar-agents"].as<int>();
   StepSimulator world(world_options);
   for (int i = 0; i < world_options.workers; ++i) {
     world.faults(i).unanswered = parsed["unanswered"].as<double>();
@@ -158,10 +161,10 @@
               << report.Utility() << "\n";
     const auto latencies = world.Latencies(name);
     if (latencies.empty()) continue;
-    std::cout << "  latency ms: median "
-              << latencies[latencies.size() / 2].ms() << ", 90 % "
-              << latencies[latencies.size() * 9 / 10].ms() << ", 99 % "
-              << latencies[latencies.size() * 99 / 100].ms() << "\n";
+    std::cout << "  latency ms: median " << latencies[latencies.size() / 2].ms()
+              << ", 90 % " << latencies[latencies.size() * 9 / 10].ms()
+              << ", 99 % " << latencies[latencies.size() * 99 / 100].ms()
+              << "\n";
   }
   for (const auto& [name, count] : world.message_counts()) {
     std::cout << name << " " << count << ", ";
--- a/src/entry/job_registrar.cc
+++ b/src/entry/job_registrar.cc
@@ -6,9 +6,8 @@
 namespace {
 
 auto FindEntry(JobRegistrar::Queue& queue, Incarnation entry) {
-  return std::find_if(queue.begin(), queue.end(), [&](const auto& claim) {
-    return claim.entry == entry;
-  });
+  return std::find_if(queue.begin(), queue.end(),
+                      [&](const auto& claim) { return claim.entry == entry; });
 }
 
 }  // namespace
--- a/src/entry/step_entry_claims.cc
+++ b/src/entry/step_entry_claims.cc
@@ -28,6 +28,7 @@
 
 std::vector<std::string> StepEntryNode::RegistrarsOf(
     const StepJobId& job) const {
+  if (!options_.registrar_agents.empty()) return options_.registrar_agents;
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
   for (const std::string& address : entry_addresses_) {
     ranked.emplace_back(Rank(job, address), address);
@@ -39,30 +40,42 @@
   return chosen;
 }
 
-std::optional<Incarnation> StepEntryNode::EntryAt(
-    const std::string& address) const {
-  if (address == options_.link_address) return options_.incarnation;
-  const auto found = entries_at_.find(address);
-  if (found == entries_at_.end() || !LinkOf(found->second.current)) {
+const std::string& StepEntryNode::RegistrarNameOf(const Hello& hello) {
+  return hello.role == ProcessRole::kEntry ? hello.link_address : hello.name;
+}
+
+std::optional<LinkId> StepEntryNode::RegistrarLinkOf(
+    Incarnation process) const {
+  const auto found = registrar_links_.find(process);
+  if (found == registrar_links_.end() || !peers_.contains(found->second)) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::optional<Incarnation> StepEntryNode::RegistrarAt(
+    const std::string& name) const {
+  if (name == options_.link_address) return options_.incarnation;
+  const auto found = registrars_at_.find(name);
+  if (found == registrars_at_.end() ||
+      !RegistrarLinkOf(found->second.current)) {
     return std::nullopt;
   }
   return found->second.current;
 }
 
-const std::string& StepEntryNode::AddressOf(Incarnation entry) const {
+const std::string& StepEntryNode::RegistrarName(Incarnation process) const {
   static const std::string kNone;
-  if (entry == options_.incarnation) return options_.link_address;
-  const auto link = LinkOf(entry);
-  if (!link) return kNone;
-  const auto peer = peers_.find(*link);
-  return peer == peers_.end() ? kNone : peer->second.hello->link_address;
+  if (process == options_.incarnation) return options_.link_address;
+  const auto found = registrar_names_.find(process);
+  return found == registrar_names_.end() ? kNone : found->second;
 }
 
 // What this entry sends to itself as a registrar is handled with the actions.
-void StepEntryNode::SendToEntry(Incarnation entry, Message message) {
-  if (entry == options_.incarnation) {
+void StepEntryNode::SendToProcess(Incarnation process, Message message) {
+  if (process == options_.incarnation) {
     own_messages_.push_back(std::move(message));
-  } else if (const auto link = LinkOf(entry)) {
+  } else if (const auto link = RegistrarLinkOf(process)) {
     Send(*link, std::move(message));
   }
 }
@@ -77,20 +90,13 @@
 
 void StepEntryNode::OnClaimMessage(Incarnation from, const Message& message,
                                    TimePoint now) {
-  if (const auto* claim = std::get_if<ClaimJob>(&message)) {
-    Register(from, *claim, now);
-  } else if (const auto* answer = std::get_if<ClaimAnswer>(&message)) {
+  if (const auto* answer = std::get_if<ClaimAnswer>(&message)) {
     OnClaimAnswer(from, *answer, now);
   } else if (const auto* wanted = std::get_if<ClaimWanted>(&message)) {
     OnClaimWanted(from, *wanted, now);
-  } else if (const auto* end = std::get_if<ClaimEnd>(&message)) {
-    if (registrar_.End(end->job, from, end->number)) TellGranted(end->job);
-  } else if (const auto* yield = std::get_if<ClaimYield>(&message)) {
-    registrar_.Yield(yield->next.job,
-                     {from, yield->next.number, yield->next.sent_at});
-    TellGranted(yield->next.job);
-  } else if (const auto* open = std::get_if<OpenClaims>(&message)) {
-    OnOpenClaims(from, *open, now);
+  } else {
+    registrar_.OnMessage(from, RegistrarName(from), message, now);
+    SendRegistrarMessages();
   }
 }
 
@@ -112,10 +118,15 @@
   });
 }
 
-void StepEntryNode::BeginClaim(const StepJobId& job, TimePoint now) {
+// Until the claim is granted the job may have been started elsewhere: an entry
+// that reaches no registrar cannot say that it was not.
+void StepEntryNode::BeginClaim(const StepJobId& job, bool is_first,
+                               TimePoint now) {
   const auto [found, is_new] = claims_.try_emplace(job);
   if (!is_new) return;
   found->second.begun = now;
+  found->second.is_first = is_first;
+  scheduler_.MarkMayHaveRun(job);
   for (std::string& address : RegistrarsOf(job)) {
     ClaimVote& vote = found->second.votes.emplace_back();
     vote.registrar = std::move(address);
@@ -127,8 +138,8 @@
 void StepEntryNode::SendClaim(const StepJobId& job, const Claim& claim,
                               ClaimVote& vote, TimePoint now) {
   vote.asked_at = now;
-  if (const auto entry = EntryAt(vote.registrar)) {
-    SendToEntry(*entry, ClaimJob{job, vote.number, now, claim.held});
+  if (const auto entry = RegistrarAt(vote.registrar)) {
+    SendToProcess(*entry, ClaimJob{job, vote.number, now, claim.held});
   }
 }
 
@@ -138,23 +149,20 @@
   const bool is_granted = answer.state == ClaimState::kGranted;
   if (found == claims_.end()) {
     // Ended here; the message that said so was lost.
-    if (is_granted) SendToEntry(from, ClaimEnd{answer.job, answer.number});
+    if (is_granted) SendToProcess(from, ClaimEnd{answer.job, answer.number});
     return;
   }
   Claim& claim = found->second;
   const auto vote = std::find_if(
       claim.votes.begin(), claim.votes.end(),
-      [&](const auto& each) { return each.registrar == AddressOf(from); });
+      [&](const auto& each) { return each.registrar == RegistrarName(from); });
   if (vote == claim.votes.end() || vote->number != answer.number) return;
   vote->answered_at = now;
   vote->holder = answer.holder;
   if (!is_granted) {
     const bool is_held = answer.state == ClaimState::kHeld;
     vote->state = is_held ? VoteState::kHeld : VoteState::kClosed;
-    if (is_held) {
-      claim.was_refused = true;
-      scheduler_.MarkMayHaveRun(answer.job);
-    }
+    if (is_held) claim.was_refused = true;
   } else if (now - answer.claim_sent_at > kClaimProofTimeout) {
     // The registrar may have taken this entry for lost since.
     if (vote->state != VoteState::kGranted) {
@@ -186,7 +194,9 @@
       // Those that waited for the job may have withdrawn.
       for (ClaimVote& vote : claim.votes) SendClaim(job, claim, vote, now);
     }
-    if (!handovers_.contains(job)) scheduler_.Release(job, false, now);
+    if (!handovers_.contains(job)) {
+      scheduler_.Release(job, claim.is_first && !claim.was_refused, now);
+    }
   } else {
     YieldIfOutvoted(job, claim, now);
   }
@@ -202,8 +212,8 @@
   const bool is_lost = std::any_of(held.begin(), held.end(), [&](auto& item) {
     return item.second >= Majority(claim.votes.size());
   });
-  const bool is_lower = !held.empty() &&
-                        options_.incarnation < held.rbegin()->first;
+  const bool is_lower =
+      !held.empty() && options_.incarnation < held.rbegin()->first;
   if (is_lost && !claim.is_outvoted && !handovers_.contains(job)) {
     claim.is_outvoted = true;
     Log(LogLevel::kWarning, "job_taken_twice",
@@ -216,7 +226,7 @@
     vote.state = VoteState::kAsked;
     vote.number = next_claim_number_++;
     vote.asked_at = now;
-    SendToEntry(vote.entry, ClaimYield{{job, vote.number, now, false}});
+    SendToProcess(vote.entry, ClaimYield{{job, vote.number, now, false}});
   }
 }
 
@@ -224,7 +234,7 @@
                                   TimePoint now) {
   const auto found = claims_.find(wanted.job);
   if (found == claims_.end()) {
-    SendToEntry(from, ClaimEnd{wanted.job, wanted.number});
+    SendToProcess(from, ClaimEnd{wanted.job, wanted.number});
     return;
   }
   Claim& claim = found->second;
@@ -257,8 +267,8 @@
   const auto found = claims_.find(job);
   if (found == claims_.end()) return;
   for (const ClaimVote& vote : found->second.votes) {
-    if (const auto entry = EntryAt(vote.registrar)) {
-      SendToEntry(*entry, ClaimEnd{job, vote.number});
+    if (const auto entry = RegistrarAt(vote.registrar)) {
+      SendToProcess(*entry, ClaimEnd{job, vote.number});
     }
   }
   claims_.erase(found);
@@ -269,7 +279,7 @@
   const auto found = claims_.find(job);
   if (found == claims_.end() || !found->second.ending) return;
   EndClaim(job);
-  if (scheduler_.HasUnansweredJob(job)) BeginClaim(job, now);
+  if (scheduler_.HasUnansweredJob(job)) BeginClaim(job, false, now);
 }
 
 void StepEntryNode::EndClosedClaims() {
@@ -289,7 +299,7 @@
     const auto found = claims_.find(job);
     if (found != claims_.end()) CheckClaim(job, found->second, now);
   }
-  CheckRegistrar(now);
+  TickRegistrar(now);
 }
 
 void StepEntryNode::CheckClaim(const StepJobId& job, Claim& claim,
@@ -307,11 +317,10 @@
     const bool is_due = vote.state != VoteState::kGranted &&
                         now - vote.asked_at >= kClaimRetryInterval;
     if (is_due && !claim.ending) SendClaim(job, claim, vote, now);
-    const bool is_reachable =
-        vote.state == VoteState::kGranted ||
-        (EntryAt(vote.registrar) &&
-         now - std::max(vote.answered_at, claim.begun) <=
-             kClaimRetryInterval * 2);
+    const bool is_reachable = vote.state == VoteState::kGranted ||
+                              (RegistrarAt(vote.registrar) &&
+                               now - std::max(vote.answered_at, claim.begun) <=
+                                   kClaimRetryInterval * 2);
     if (is_reachable) ++reachable;
   }
   UpdateClaim(job, claim, now);
@@ -323,74 +332,40 @@
                         now);
 }
 
-// ---- as a registrar
+// ---- registrars
 
-// Others may have been granted what this process does not know of: by the one
-// before it.
-bool StepEntryNode::IsRegistrarOpen(TimePoint now) const {
-  return is_registrar_open_ ||
-         (first_tick_ && now - *first_tick_ >= kClaimExpiry);
+void StepEntryNode::TickRegistrar(TimePoint now) {
+  std::set<std::string> others = entry_addresses_;
+  others.erase(options_.link_address);
+  registrar_.OnHeard(options_.incarnation, now);
+  registrar_.OnTick(others, now);
+  SendRegistrarMessages();
 }
 
-void StepEntryNode::Register(Incarnation from, const ClaimJob& claim,
-                             TimePoint now) {
-  ClaimAnswer answer{claim.job, claim.number, claim.sent_at,
-                     ClaimState::kClosed, {}};
-  if (claim.held || IsRegistrarOpen(now)) {
-    const JobRegistrar::Queue& queue =
-        registrar_.Add(claim.job, {from, claim.number, claim.sent_at});
-    answer.holder = queue.front().entry;
-    answer.state = answer.holder == from ? ClaimState::kGranted
-                                         : ClaimState::kHeld;
-    if (queue.size() > 1) {
-      SendToEntry(queue.front().entry,
-                  ClaimWanted{claim.job, queue.front().number,
-                              queue[1].entry});
-    }
+void StepEntryNode::SendRegistrarMessages() {
+  for (auto& [entry, message] : registrar_.TakeMessages()) {
+    SendToProcess(entry, std::move(message));
   }
-  SendToEntry(from, answer);
 }
 
-void StepEntryNode::TellGranted(const StepJobId& job) {
-  const JobRegistrar::Queue* queue = registrar_.Find(job);
-  if (queue == nullptr) return;
-  const JobRegistrar::Claim& first = queue->front();
-  SendToEntry(first.entry, ClaimAnswer{job, first.number, first.sent_at,
-                                       ClaimState::kGranted, first.entry});
-  if (queue->size() > 1) {
-    SendToEntry(first.entry,
-                ClaimWanted{job, first.number, queue->at(1).entry});
-  }
-}
-
-void StepEntryNode::CheckRegistrar(TimePoint now) {
-  std::vector<Incarnation> lost;
-  for (const Incarnation entry : registrar_.entries()) {
-    if (entry == options_.incarnation) continue;
-    const auto heard = entry_heard_.find(entry);
-    if (heard == entry_heard_.end() || now - heard->second > kClaimExpiry) {
-      lost.push_back(entry);
-    }
-  }
-  for (const Incarnation entry : lost) {
-    for (const StepJobId& job : registrar_.Remove(entry, {})) TellGranted(job);
-  }
-}
-
-void StepEntryNode::OnEntryLinked(const Hello& hello, TimePoint now) {
+void StepEntryNode::OnRegistrarLinked(LinkId link, const Hello& hello,
+                                      TimePoint now) {
   if (!options_.uses_claims) return;
-  EntriesAt& known = entries_at_[hello.link_address];
+  const std::string& name = RegistrarNameOf(hello);
+  registrar_links_[hello.incarnation] = link;
+  registrar_names_[hello.incarnation] = name;
+  ProcessesAt& known = registrars_at_[name];
   if (known.current != hello.incarnation) {
     known.previous = known.current;
     known.current = hello.incarnation;
   }
   OpenClaims open;
-  const auto heard = entry_heard_.find(known.previous);
-  open.knew_predecessor =
-      heard != entry_heard_.end() && now - heard->second <= kClaimExpiry;
+  const auto heard = registrar_heard_.find(known.previous);
+  open.knew_predecessor = heard != registrar_heard_.end() &&
+                          now - heard->second <= ClaimRegistrar::kClaimExpiry;
   for (auto& [job, claim] : claims_) {
     for (ClaimVote& vote : claim.votes) {
-      if (vote.registrar != hello.link_address) continue;
+      if (vote.registrar != name) continue;
       if (vote.state == VoteState::kGranted &&
           vote.entry != hello.incarnation) {
         vote.state = VoteState::kAsked;
@@ -399,25 +374,7 @@
       open.claims.push_back({job, vote.number, now, claim.held});
     }
   }
-  SendToEntry(hello.incarnation, std::move(open));
-}
-
-void StepEntryNode::OnOpenClaims(Incarnation from, const OpenClaims& open,
-                                 TimePoint now) {
-  std::set<StepJobId> kept;
-  for (const ClaimJob& claim : open.claims) kept.insert(claim.job);
-  for (const StepJobId& job : registrar_.Remove(from, kept)) TellGranted(job);
-  for (const ClaimJob& claim : open.claims) Register(from, claim, now);
-  if (open.knew_predecessor) had_predecessor_ = true;
-  told_by_.insert(AddressOf(from));
-  is_registrar_open_ =
-      is_registrar_open_ ||
-      (!had_predecessor_ && entry_addresses_.size() > 1 &&
-       std::all_of(entry_addresses_.begin(), entry_addresses_.end(),
-                   [&](const std::string& address) {
-                     return address == options_.link_address ||
-                            told_by_.contains(address);
-                   }));
+  SendToProcess(hello.incarnation, std::move(open));
 }
 
 }  // namespace geranium
--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -163,11 +163,13 @@
 void StepEntryNode::EndHandover(const StepJobId& job, bool is_first,
                                 TimePoint now) {
   handovers_.erase(job);
+  const auto claim = claims_.find(job);
   if (MayStart(job)) {
-    scheduler_.Release(job, is_first, now);
-  } else if (const auto claim = claims_.find(job);
-             is_first && claim != claims_.end() && !claim->second.was_refused) {
-    scheduler_.MarkFirst(job);
+    const bool was_refused =
+        claim != claims_.end() && claim->second.was_refused;
+    scheduler_.Release(job, is_first && !was_refused, now);
+  } else if (claim != claims_.end()) {
+    claim->second.is_first = is_first;
   }
   if (!scheduler_.HasJob(job)) SendHandedOver(job, now);
 }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -13,7 +13,7 @@
 #include "base/ids.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
-#include "entry/job_registrar.h"
+#include "entry/claim_registrar.h"
 #include "entry/step_actions.h"
 #include "entry/step_scheduler.h"
 #include "link/messages.h"
@@ -28,6 +28,8 @@
   /// A job is started only once a majority of its registrars, entries chosen
   /// by its id, has granted it.
   bool uses_claims = false;
+  /// The names of the agents that are the registrars of all jobs instead.
+  std::vector<std::string> registrar_agents;
 };
 
 /// A job as received from its caller, before its route is looked up.
@@ -80,10 +82,6 @@
   /// is known to have got from this entry: more than a heartbeat, its echo and
   /// a silence of 500 ms.
   static constexpr Duration kClaimProofTimeout{1100};
-  /// A registrar ends the claims of an entry that it has not heard from for
-  /// this long: by then the runs that the entry gave up have been stopped, or
-  /// their agents have taken it for lost.
-  static constexpr Duration kClaimExpiry{2500};
 
   explicit StepEntryNode(StepEntryOptions options);
 
@@ -198,14 +196,15 @@
   struct Claim {
     std::vector<ClaimVote> votes;
     TimePoint begun;
-    bool held = false;    ///< A majority has granted it.
-    bool ending = false;  ///< Nothing more is started; ends with its runs.
+    bool held = false;      ///< A majority has granted it.
+    bool ending = false;    ///< Nothing more is started; ends with its runs.
+    bool is_first = false;  ///< Nothing was known of the job before.
     bool is_wanted = false;
     bool was_refused = false;
     bool is_outvoted = false;
   };
-  /// The processes at a link address.
-  struct EntriesAt {
+  /// The processes of one name.
+  struct ProcessesAt {
     Incarnation current;
     Incarnation previous;
   };
@@ -231,14 +230,17 @@
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
   std::vector<std::string> RegistrarsOf(const StepJobId& job) const;
-  std::optional<Incarnation> EntryAt(const std::string& address) const;
-  const std::string& AddressOf(Incarnation entry) const;
-  void SendToEntry(Incarnation entry, Message message);
+  /// A registrar's name: an agent's own, or an entry's link address.
+  static const std::string& RegistrarNameOf(const Hello& hello);
+  const std::string& RegistrarName(Incarnation process) const;
+  std::optional<LinkId> RegistrarLinkOf(Incarnation process) const;
+  std::optional<Incarnation> RegistrarAt(const std::string& name) const;
+  void SendToProcess(Incarnation process, Message message);
   void HandleOwnMessages(TimePoint now);
   void OnClaimMessage(Incarnation from, const Message& message, TimePoint now);
   bool MayStart(const StepJobId& job) const;
   bool WaitsForClaimOf(const StepJobId& job, Incarnation entry) const;
-  void BeginClaim(const StepJobId& job, TimePoint now);
+  void BeginClaim(const StepJobId& job, bool is_first, TimePoint now);
   void SendClaim(const StepJobId& job, const Claim& claim, ClaimVote& vote,
                  TimePoint now);
   void OnClaimAnswer(Incarnation from, const ClaimAnswer& answer,
@@ -253,12 +255,9 @@
   void EndClosedClaims();
   void CheckClaims(TimePoint now);
   void CheckClaim(const StepJobId& job, Claim& claim, TimePoint now);
-  bool IsRegistrarOpen(TimePoint now) const;
-  void Register(Incarnation from, const ClaimJob& claim, TimePoint now);
-  void TellGranted(const StepJobId& job);
-  void CheckRegistrar(TimePoint now);
-  void OnEntryLinked(const Hello& hello, TimePoint now);
-  void OnOpenClaims(Incarnation from, const OpenClaims& open, TimePoint now);
+  void TickRegistrar(TimePoint now);
+  void SendRegistrarMessages();
+  void OnRegistrarLinked(LinkId link, const Hello& hello, TimePoint now);
 
   void AbandonJobsAfterStandstill(TimePoint now);
   /// Returns false if no other entry can have runs of the job.
@@ -336,11 +335,11 @@
   TimePoint next_claim_check_ = TimePoint::Never();
   /// Send time of the newest heartbeat that each entry has echoed.
   std::map<Incarnation, TimePoint> proofs_;
-  JobRegistrar registrar_;
-  bool is_registrar_open_ = false;
-  bool had_predecessor_ = false;
-  std::set<std::string> told_by_;  ///< Entries that sent their open claims.
-  std::map<std::string, EntriesAt> entries_at_;
+  ClaimRegistrar registrar_;
+  std::map<std::string, ProcessesAt> registrars_at_;  ///< By name.
+  std::map<Incarnation, std::string> registrar_names_;
+  std::map<Incarnation, LinkId> registrar_links_;
+  std::map<Incarnation, TimePoint> registrar_heard_;
   std::deque<Message> own_messages_;
   std::vector<StepAction> actions_;
 };
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -270,9 +270,9 @@
   PlaceWaitingTasks(now);
 }
 
-void StepScheduler::SetMayHaveRun(const StepJobId& id, bool may_have_run) {
+void StepScheduler::MarkMayHaveRun(const StepJobId& id) {
   const auto found = by_id_.find(id);
-  if (found != by_id_.end()) jobs_.at(found->second).may_have_run = may_have_run;
+  if (found != by_id_.end()) jobs_.at(found->second).may_have_run = true;
 }
 
 void StepScheduler::RefuseHeld(const StepJobId& id, const std::string& reason,
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -92,9 +92,8 @@
   /// Allows a held job to be dispatched; `is_first` if nothing of it can have
   /// run before, so that it may still be refused.
   void Release(const StepJobId& id, bool is_first, TimePoint now);
-  /// As released with `is_first`, while the job stays held.
-  void MarkFirst(const StepJobId& id) { SetMayHaveRun(id, false); }
-  void MarkMayHaveRun(const StepJobId& id) { SetMayHaveRun(id, true); }
+  /// Until the job is released as the first.
+  void MarkMayHaveRun(const StepJobId& id);
   /// Answers a held job of which nothing has started here.
   void RefuseHeld(const StepJobId& id, const std::string& reason,
                   TimePoint now);
@@ -240,7 +239,6 @@
   }
   Backlog EstimateBacklog(int priority) const;
   static StepAnswer RefusalOf(const Job& job);
-  void SetMayHaveRun(const StepJobId& id, bool may_have_run);
   double CapacityShare(TimePoint now) const;
   void RequeueLateJobs(TimePoint now);
   std::string UnsupportedReason(const StepJob& job, const Route& route) const;
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -295,8 +295,8 @@
     Leaving, Drain, KeyQuery, KeyReply, WorkerCard, WorkerReport, StartTask,
     StopTask, TaskEnd, TaskEndAck, AttemptList, RouteTablePull, RouteTablePush,
     JobsAccepted, JobHandoverRequest, JobHandedOver, JobMoved, WorkerCrashed,
-    JobsCancelled, JobHoldersQuery, JobHolders, ClaimJob, ClaimAnswer, ClaimWanted,
-    ClaimEnd, ClaimYield, OpenClaims>;
+    JobsCancelled, JobHoldersQuery, JobHolders, ClaimJob, ClaimAnswer,
+    ClaimWanted, ClaimEnd, ClaimYield, OpenClaims>;
 
 /// The name of a message's type, for logs and metrics.
 std::string_view MessageName(const Message& message);
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -137,6 +137,7 @@
 // ---- time
 
 void WorkerSession::OnTick(TimePoint now) {
+  TickRegistrar(now);
   ExpireLease(now);
   StopRunsOfSilentEntries(now);
   ExpireQueued(now);
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/log_message.h"
+#include "entry/claim_registrar.h"
 #include "link/actions.h"
 #include "link/messages.h"
 #include "worker/entry_selection.h"
@@ -178,6 +179,8 @@
     std::map<AttemptId, TaskEnd> unacknowledged;
   };
 
+  void TickRegistrar(TimePoint now);
+  void SendRegistrarMessages();
   void On(LinkId link, const Hello& hello, TimePoint now);
   void On(LinkId link, const Members& members, TimePoint now);
   void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
@@ -290,6 +293,8 @@
   EntrySelection selection_;
   std::set<std::string> dialled_entries_;  ///< Dialled and not released.
   TimePoint next_selection_;
+  ClaimRegistrar registrar_;
+  std::set<std::string> known_entries_;  ///< By link address.
   Resources in_use_;
   RunStatistics run_statistics_;
   TimePoint next_heartbeat_;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -47,12 +47,31 @@
   if (peer == peers_.end()) return;
   peer->second.last_received_at = now;
   std::visit([&](const auto& typed) { On(link, typed, now); }, message);
+  if (!peer->second.hello) return;
+  const Hello& hello = *peer->second.hello;
+  registrar_.OnMessage(hello.incarnation, hello.link_address, message, now);
+  SendRegistrarMessages();
+}
+
+// Claims of jobs, if this agent is a registrar.
+void WorkerSession::TickRegistrar(TimePoint now) {
+  registrar_.OnTick(known_entries_, now);
+  SendRegistrarMessages();
+}
+
+void WorkerSession::SendRegistrarMessages() {
+  for (auto& [entry, message] : registrar_.TakeMessages()) {
+    const auto found = entries_.find(entry);
+    if (found == entries_.end() || !found->second.linked) continue;
+    Send(found->second.link, std::move(message));
+  }
 }
 
 void WorkerSession::On(LinkId link, const Hello& hello, TimePoint now) {
   if (hello.role != ProcessRole::kEntry) return;
   peers_[link].hello = hello;
   selection_.Add(hello.link_address, now);
+  known_entries_.insert(hello.link_address);
   selection_.OnLinked(hello.link_address);
   const bool is_new = !entries_.contains(hello.incarnation);
   Entry& entry = entries_[hello.incarnation];
@@ -84,6 +103,7 @@
   bool added = false;
   for (const std::string& address : addresses) {
     added = selection_.Add(address, now) || added;
+    known_entries_.insert(address);
   }
   if (!added) return;
   next_selection_ = now;
--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -52,7 +52,9 @@
   std::vector<LoadClass> load;
   StepSchedulerOptions scheduler;  ///< Identity fields are set per entry.
   bool uses_claims = true;         ///< See StepEntryOptions.
-  std::size_t entry_links = 4;     ///< Per agent.
+  /// Agents that are registrars, linked to all entries; 0: entries are.
+  int registrar_agents = 0;
+  std::size_t entry_links = 4;  ///< Per agent.
   Duration caller_delay{3};
   Duration link_delay{1};
   Duration resend_delay{1300};  ///< Until a caller sends a lost job again.
--- a/standins/step_simulator_links.cc
+++ b/standins/step_simulator_links.cc
@@ -30,6 +30,9 @@
   options.incarnation = Incarnation(next_incarnation_++);
   options.link_address = EntryAddress(index);
   options.uses_claims = options_.uses_claims;
+  for (int i = 0; i < options_.registrar_agents; ++i) {
+    options.registrar_agents.push_back("agent-" + std::to_string(i));
+  }
   options.scheduler = options_.scheduler;
   options.scheduler.incarnation = options.incarnation;
   options.scheduler.data_centre = DataCentreName("dc-" + std::to_string(index));
@@ -54,7 +57,9 @@
   options.name = agent.name;
   options.incarnation = Incarnation(next_incarnation_++);
   options.first_fencing_token = static_cast<std::uint64_t>(now_.ms());
-  options.entry_links = options_.entry_links;
+  options.entry_links = index < options_.registrar_agents
+                            ? static_cast<std::size_t>(options_.entries)
+                            : options_.entry_links;
   agent.session = std::make_unique<WorkerSession>(options);
   agent.alive = true;
   ++agent.incarnation;
--- a/tests/step_simulator_fixture.h
+++ b/tests/step_simulator_fixture.h
@@ -2,6 +2,7 @@
 #define GERANIUM_TESTS_STEP_SIMULATOR_FIXTURE_H_
 
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -17,14 +18,17 @@
 class StepSimulatorTest {
  protected:
   static StepSimulatorOptions Options(double factor, std::uint64_t seed = 1) {
-    StepSimulatorOptions options;
-    options.seed = seed;
+    StepSimulatorOptions options = OptionsWithoutLoad(seed);
     options.load = ReferenceLoad(factor);
     return options;
   }
 
   static StepSimulatorOptions OptionsWithoutLoad(std::uint64_t seed = 1) {
     StepSimulatorOptions options;
+    if (std::getenv("CLAIMS") != nullptr) {
+      options.uses_claims = std::stoi(std::getenv("CLAIMS")) > 0;
+      options.registrar_agents = std::stoi(std::getenv("CLAIMS")) == 2 ? 3 : 0;
+    }
     options.seed = seed;
     options.load = ReferenceLoad(0);
     return options;
--- a/tests/step_simulator_random_faults_test.cc
+++ b/tests/step_simulator_random_faults_test.cc
@@ -76,6 +76,12 @@
     CHECK(simulator->violations() == std::vector<std::string>());
   }
 
+  static std::uint64_t FromEnvironment(const char* name,
+                                       std::uint64_t otherwise) {
+    const char* value = std::getenv(name);
+    return value == nullptr ? otherwise : std::stoull(value);
+  }
+
   static StepSimulatorOptions RandomSite(std::uint64_t seed, const Size& size,
                                          Random& random) {
     StepSimulatorOptions options = OptionsWithoutLoad(seed);
@@ -167,22 +173,20 @@
   }
 }
 
-// Takes FIRST_SEED, SEEDS, UNNOTICED and REPEATS from the environment.
+// Takes FIRST_SEED, SEEDS, UNNOTICED, REPEATS and CLAIMS from the environment:
+// 0 for none, 1 at entries, 2 at three agents.
 TEST_CASE_METHOD(RandomFaultsTest,
                  "StepSimulator with overlapping random faults, a chosen range "
                  "of seeds",
                  "[.]") {
-  const auto number = [](const char* name, std::uint64_t otherwise) {
-    const char* value = std::getenv(name);
-    return value == nullptr ? otherwise : std::stoull(value);
-  };
-  const CallerLoss caller_loss = number("UNNOTICED", 0) == 0
+  const CallerLoss caller_loss = FromEnvironment("UNNOTICED", 0) == 0
                                      ? CallerLoss::kNoticed
                                      : CallerLoss::kPartlyUnnoticed;
-  const Repeats repeats =
-      number("REPEATS", 0) == 0 ? Repeats::kNone : Repeats::kOrdersAndRequests;
-  const std::uint64_t first = number("FIRST_SEED", 1);
-  for (std::uint64_t i = 0; i < number("SEEDS", 100); ++i) {
+  const Repeats repeats = FromEnvironment("REPEATS", 0) == 0
+                              ? Repeats::kNone
+                              : Repeats::kOrdersAndRequests;
+  const std::uint64_t first = FromEnvironment("FIRST_SEED", 1);
+  for (std::uint64_t i = 0; i < FromEnvironment("SEEDS", 100); ++i) {
     CheckSeed(first + i, SmallSite(), caller_loss, repeats);
     CheckSeed(first + i, LargeSite(), caller_loss, repeats);
   }
