Keep a released entry's link until its runs have ended

What callers saw: tasks of jobs were started again 1.5 s later though their first run went on, and the answer came that much later. Cause: an agent that released an entry counted open runs only while a link to it was up. If the link broke meanwhile it did not dial the entry again, which counted the runs as lost after kWorkerLostTimeout. Change: entries with open runs or unacknowledged ends are dialled on. Measured: the new test of the session failed before.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -172,6 +172,7 @@
   /// State of an entry that outlives a single link.
   struct Entry {
     std::string name;
+    std::string link_address;
     LinkId link;
     bool linked = false;
     TimePoint last_alive_at = TimePoint::Never();  ///< Known to be alive then.
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -57,6 +57,7 @@
   const bool is_new = !entries_.contains(hello.incarnation);
   Entry& entry = entries_[hello.incarnation];
   entry.name = hello.name;
+  entry.link_address = hello.link_address;
   entry.link = link;
   entry.linked = true;
   Log(LogLevel::kInfo, "entry_link_up", {{"entry", hello.name}});
@@ -102,10 +103,11 @@
 }
 
 // A released entry is first told to send no more orders; its open orders are
-// finished and acknowledged before the link is closed.
+// finished and acknowledged before the link is closed. If it breaks before
+// that, it is dialled again.
 void WorkerSession::ReleaseUnselected(TimePoint now) {
   const std::set<std::string>& selected = selection_.selected();
-  std::set<std::string> linked;
+  std::set<std::string> kept;
   for (auto& [link, peer] : peers_) {
     if (!peer.hello) continue;
     const std::string& address = peer.hello->link_address;
@@ -120,11 +122,14 @@
     }
     if (now - *peer.releasing_since < kReleaseGracePeriod ||
         HasOpenWork(peer.hello->incarnation)) {
-      linked.insert(address);
+      kept.insert(address);
     }
   }
+  for (const auto& [incarnation, entry] : entries_) {
+    if (HasOpenWork(incarnation)) kept.insert(entry.link_address);
+  }
   std::erase_if(dialled_entries_, [&](const std::string& address) {
-    if (selected.contains(address) || linked.contains(address)) return false;
+    if (selected.contains(address) || kept.contains(address)) return false;
     Log(LogLevel::kInfo, "entry_released", {{"entry", address}});
     actions_.emplace_back(DisconnectEntry{address});
     return true;
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -43,6 +43,43 @@
   }
 }
 
+// Guards against runs that their entry counts as lost, and places again, since
+// the link to it broke while it was being released.
+TEST_CASE_METHOD(WorkerSessionTest,
+                 "WorkerSession whose link to a released entry breaks dials it "
+                 "until the entry's runs have ended") {
+  const TaskRun run = Order(kFirst, 1);
+  Tick();
+  session_.OnStartEnded(run, AcceptedOrder(), now_);
+  std::vector<std::string> others;
+  for (int i = 3; i < 30; ++i) others.push_back("entry-" + std::to_string(i));
+  session_.AddEntries(others, now_);
+  session_.OnLinkDown(kFirst, now_);
+  actions_.clear();
+  Advance(Duration(400));
+  const auto is_dropped = [this] {
+    return std::any_of(
+        actions_.begin(), actions_.end(), [](const SessionAction& action) {
+          const auto* drop = std::get_if<DisconnectEntry>(&action);
+          return drop != nullptr && drop->address == "entry-1";
+        });
+  };
+  CHECK_FALSE(is_dropped());
+  PollOutcome outcome;
+  outcome.ended.push_back({1, run, RunEnd::kDone});
+  AnswerPoll(outcome);
+  session_.OnLinkUp(kFirst, now_);
+  Hello hello;
+  hello.role = ProcessRole::kEntry;
+  hello.incarnation = Incarnation(kFirst.value());
+  hello.link_address = "entry-1";
+  session_.OnMessage(kFirst, hello, now_);
+  session_.OnMessage(
+      kFirst, TaskEndAck{AttemptId{Incarnation(kFirst.value()), 1}}, now_);
+  Advance(Duration(500));
+  CHECK(is_dropped());
+}
+
 TEST_CASE_METHOD(WorkerSessionTest,
                  "WorkerSession with nothing to do is next due at a heartbeat, "
                  "not at every millisecond") {
