Wait for own earlier runs and for all holders before a job starts again

Change: BeginHandover waits for own runs first and asks the holders then; a handover ends only once own runs have ended; a submission drops the request of an entry that asked before it, which asks again; queries begin without a voucher; only holders never heard from are given up on the word of others.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -20,6 +20,14 @@
     known.successor.reset();
     handover.others = known.holders;
   }
+  if (scheduler_.MayHaveRuns(job)) {
+    // Resubmitted while an earlier submission is still in progress here.
+    handover.from = options_.incarnation;
+    handover.requested_at = now;
+    handovers_[job] = std::move(handover);
+    scheduler_.Relinquish(job, now);
+    return true;
+  }
   if (AskNextHolder(job, handover, now)) return true;
   if (!handover.is_query_due) return false;
   BeginQuery(job, std::move(handover), now);
@@ -102,6 +110,7 @@
   } else if (scheduler_.HasUnansweredJob(job)) {
     // That one gives the job up, but its runs take a while to stop.
     scheduler_.Hold(job);
+    known_jobs_.at(job).successor.reset();
     Handover handover;
     handover.others = {entry};
     AskNextHolder(job, std::move(handover), now);
@@ -167,9 +176,9 @@
   if (handover == nullptr) return;
   handover->released.insert(*handover->from);
   for (const Incarnation entry : handed.holders) {
-    if (handover->released.contains(entry)) continue;
-    AddHolder(handed.job, *handover, entry, now);
-    handover->named_by.try_emplace(entry, *handover->from);
+    if (!handover->released.contains(entry)) {
+      AddHolder(handed.job, *handover, entry, now);
+    }
   }
   ContinueHandover(handed.job, now);
 }
@@ -190,6 +199,11 @@
 
 void StepEntryNode::EndHandover(const StepJobId& job, bool is_first,
                                 TimePoint now) {
+  if (scheduler_.IsBeingRelinquished(job)) {
+    // The job came here again while others were asked for it.
+    handovers_.at(job).from = options_.incarnation;
+    return;
+  }
   handovers_.erase(job);
   scheduler_.Release(job, is_first, now);
   if (!scheduler_.HasJob(job)) SendHandedOver(job, now);
@@ -200,9 +214,10 @@
 // that is cut off from this entry alone still sends them: if it has not noticed
 // that its caller disconnected, a task may run at both (docs/PLATFORM.md).
 void StepEntryNode::CheckHandovers(TimePoint now) {
-  // Nobody here waits for these, and who may have them is known.
+  // Nobody here waits for these, and which others may have them is known.
   std::erase_if(handovers_, [&](const auto& item) {
     return !scheduler_.HasUnansweredJob(item.first) &&
+           !scheduler_.MayHaveRuns(item.first) &&
            !handover_requesters_.contains(item.first);
   });
   CheckQueries(now);
@@ -241,8 +256,10 @@
     const bool is_queried = own != handovers_.end() && !own->second.from;
     const bool is_own =
         own != handovers_.end() && own->second.from == options_.incarnation;
-    if (is_own && scheduler_.HasUnansweredJob(job)) {
-      ContinueHandover(job, now);
+    if (scheduler_.HasUnansweredJob(job)) {
+      // Submitted here after another entry had asked, which asks again.
+      handover_requesters_.erase(job);
+      if (is_own) ContinueHandover(job, now);
     } else if (!is_queried) {
       SendHandedOver(job, now);
     }
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -48,7 +48,7 @@
     actions_.emplace_back(
         AnswerStepJob{caller, answer, kRetryAfterStart, reason});
   };
-  const bool is_known = scheduler_.HasJob(id) || known_jobs_.contains(id);
+  const bool is_known = scheduler_.MayHaveRuns(id) || known_jobs_.contains(id);
   const auto refusal = [](bool may_have_run) {
     return may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
   };
@@ -74,10 +74,9 @@
     refuse(StepAnswer::kFailed, "the job was cancelled");
     return;
   }
-  if (scheduler_.HasJob(id)) {
-    // Resubmitted while the first submission is still in progress here.
+  // One that is held already waits for its own earlier runs in the end.
+  if (handovers_.contains(id) && scheduler_.HasJob(id)) {
     scheduler_.Relinquish(id, now);
-    handovers_.try_emplace(id, Handover{options_.incarnation, now, {}});
   }
   const bool held = handovers_.contains(id) || BeginHandover(id, now);
   const Duration caller_timeout =
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -71,6 +71,7 @@
                                TimePoint now) {
   handover.from.reset();
   handover.is_query_due = false;
+  handover.is_vouched_for = false;
   handover.requested_at = now;
   handover.queried = UnreadEntries(now);
   handover.queried.merge(ChooseVouchers(job));
@@ -140,8 +141,11 @@
   }
   if (handover.queried.erase(sender) == 0) return;
   for (const Incarnation entry : holders.entries) {
+    // A holder that was heard from is waited for, whoever names it.
+    if (holders.knows_all && !entry_heard_.contains(entry)) {
+      handover.named_by[entry] = sender;
+    }
     AddHolder(holders.job, handover, entry, now);
-    if (holders.knows_all) handover.named_by[entry] = sender;
   }
   if (holders.knows_all) handover.is_vouched_for = true;
   EndQueryIfDone(holders.job, now);
@@ -176,9 +180,7 @@
     }
   }
   for (const StepJobId& job : open) {
-    Handover handover = handovers_.at(job);
-    handover.is_vouched_for = false;
-    BeginQuery(job, std::move(handover), now);
+    BeginQuery(job, handovers_.at(job), now);
   }
 }
 
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -106,7 +106,10 @@
   bool HasJob(const StepJobId& id) const { return by_id_.contains(id); }
   /// True also while only runs of relinquished submissions are open.
   bool MayHaveRuns(const StepJobId& id) const {
-    return HasJob(id) || being_relinquished_.contains(id);
+    return HasJob(id) || IsBeingRelinquished(id);
+  }
+  bool IsBeingRelinquished(const StepJobId& id) const {
+    return being_relinquished_.contains(id);
   }
   bool HasUnansweredJob(const StepJobId& id) const {
     const auto found = by_id_.find(id);
--- a/tests/step_simulator_handover_test.cc
+++ b/tests/step_simulator_handover_test.cc
@@ -114,6 +114,35 @@
   }
 }
 
+// Each of two entries holds that the other one has the job: the first, which
+// has it, since the second asked for it once, the second since it was asked.
+TEST_CASE_METHOD(StepSimulatorTest,
+                 "StepSimulator with a job back at its first entry after its "
+                 "caller left another one, it can be resubmitted elsewhere") {
+  StepSimulatorOptions options = OptionsWithoutLoad();
+  options.resend_delay = Duration(5000);  // The test resubmits before.
+  StepSimulator simulator(options);
+  simulator.Run(TimePoint(1600));
+  const int job = simulator.Submit(0, LongJob());
+  simulator.At(TimePoint(1900), [&] {
+    for (int i = 0; i < options.workers; ++i) {
+      simulator.FreezeAgent(i, Duration(280));
+    }
+    simulator.Resubmit(job, 1);
+  });
+  TimePoint when(2000);
+  for (const int entry : {0, 0, 2}) {
+    simulator.At(when, [&] {
+      for (int i = 0; i < options.entries; ++i) simulator.ResetCallers(i);
+    });
+    simulator.At(when + Duration(40),
+                 [&simulator, job, entry] { simulator.Resubmit(job, entry); });
+    when = when + Duration(300);
+  }
+  simulator.Run(TimePoint(6000));
+  CheckCompleted(simulator, {job});
+}
+
 // The job runs at its first entry, whose answer can no longer reach the caller.
 TEST_CASE_METHOD(StepSimulatorTest,
                  "StepSimulator with a running job resubmitted to an entry "
