Start jobs after a restart once all entries have answered for themselves

Cause: an entry that had just started waited for kWorkerLostTimeout unless one that knows all answered. Change: it also goes on once all entries that it knows by address are linked and have answered for themselves. Tests changed: two that asked for the wait now have an entry that is known and not linked.

--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -202,6 +202,7 @@
   /// For a while after a start, jobs that others have may be unknown here, and
   /// runs of this entry's earlier process may go on.
   bool IsStarting(TimePoint now) const;
+  bool IsLinkedToAllEntries() const;
   bool HasMissedAnnouncements(TimePoint now) const;
   void BeginStart(TimePoint now);
   void ReadFromStart(Incarnation entry, TimePoint now);
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -35,6 +35,18 @@
   return now - started_at_ <= StepScheduler::kWorkerLostTimeout;
 }
 
+// Entries that are known by their addresses only may have any job.
+bool StepEntryNode::IsLinkedToAllEntries() const {
+  std::set<std::string> linked{options_.link_address};
+  for (const auto& [link, peer] : peers_) {
+    if (!peer.hello || peer.hello->role != ProcessRole::kEntry) continue;
+    linked.insert(peer.hello->link_address);
+  }
+  return linked.size() > 1 &&
+         std::includes(linked.begin(), linked.end(), entry_addresses_.begin(),
+                       entry_addresses_.end());
+}
+
 bool StepEntryNode::HasMissedAnnouncements(TimePoint now) const {
   return IsStarting(now) || !UnreadEntries(now).empty();
 }
@@ -157,7 +169,8 @@
                 [&](Incarnation entry) { return IsLost(entry, now); });
   const bool caught_up = now - standstill_end_ >= kCatchUpTime;
   const bool vouched_for = handover.is_vouched_for && caught_up;
-  const bool is_open = !handover.queried.empty() || IsStarting(now);
+  const bool is_open =
+      !handover.queried.empty() || (IsStarting(now) && !IsLinkedToAllEntries());
   if (is_open && !vouched_for) return;
   // One that has asked for the job meanwhile gets it from here.
   if (const auto requester = handover_requesters_.find(job);
--- a/tests/step_entry_queries_test.cc
+++ b/tests/step_entry_queries_test.cc
@@ -220,6 +220,7 @@
 TEST_CASE_METHOD(JustStartedEntryTest,
                  "StepEntryNode that has just started where nobody knows all "
                  "starts a job when runs from before have ended") {
+  Receive(kSecond, Members{{"entry-not-linked"}});
   PassCatchUpTime();
   Submit(1);
   AnswerQuery(kSecond, {}, false);
@@ -234,6 +235,7 @@
 TEST_CASE_METHOD(JustStartedEntryTest,
                  "StepEntryNode that has just started where nobody knows all "
                  "refuses a job as not run if no worker is free") {
+  Receive(kSecond, Members{{"entry-not-linked"}});
   PassCatchUpTime();
   Submit(1);
   AnswerQuery(kSecond, {}, false);
@@ -245,6 +247,17 @@
   CHECK(AnswerTo(1) == StepAnswer::kRefused);
 }
 
+TEST_CASE_METHOD(JustStartedEntryTest,
+                 "StepEntryNode that has just started with all entries starts "
+                 "a job once all have answered for themselves") {
+  PassCatchUpTime();
+  Submit(1);
+  AnswerQuery(kSecond, {}, false);
+  CHECK(Sent<StartTask>(kAgent).empty());
+  AnswerQuery(kThird, {}, false);
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 // Guards against a process that stalls before it is linked to all others.
 TEST_CASE_METHOD(JustStartedEntryTest,
                  "StepEntryNode that stands still just after its start counts "
