--- a/review/standins-2/scenarios.cc
+++ b/review/standins-2/scenarios.cc
@@ -66,7 +66,8 @@
 }
 
 /// A job is cancelled at one entry while the entry that has it is cut off from
-/// the other entries, not from its clients, the workers' machines or the store.
+/// the store and all machines of other zones. Its clients and the agent of its own
+/// zone still reach it. Each entry has a zone of its own, with one agent.
 int EntryCut(Record& record, const std::string& folder) {
   constexpr std::int64_t kCutMs = 5500;
   Site& site = MakeSite({3, 3, {0, 1, 2}}, folder, record);
@@ -75,11 +76,11 @@
   if (!site.WaitUntilReady()) return Unable(site, "not ready");
   SleepMs(4000);
   const std::string job = "5c0e7a21d94b36f8";
-  std::thread client([&] { (void)site.Submit(0, "visits", job, {5'200, 500}, 12'000); });
+  std::thread client([&] { (void)site.Submit(0, "visits", job, {5'200, 500}, 12'000, "r-i-0"); });
   SleepMs(500);
   if (HasTrouble()) {
-    site.proxies().Cut("entry-a");
-    record.Write("entry-a is cut off from the other entries");
+    site.proxies().Cut("entry-a", "agent-0");
+    record.Write("entry-a is cut off from the store and from all machines of other zones");
   }
   const std::int64_t cut_at = record.Now();
   SleepMs(400);
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -537,37 +537,38 @@
 
 // ---- a proxy before each entry's link address
 
-/// Passes bytes between machines. A cut holds back what goes between the entry
-/// `cut` and other entries, both ways, also on new connections; all else passes.
-/// What was held back is lost: the connections are reset as the cut heals.
+/// Passes bytes between machines. A cut holds back what goes between an entry and
+/// the store, the other entries and all agents but one, both ways, also on new
+/// connections; all else passes. What was held back is lost: the connections are
+/// reset as the cut heals.
 class LinkProxies {
  public:
-  void Add(const std::string& entry, int listen_port, int target_port) {
+  /// `from`: who dials; empty if it is to be found in what is sent.
+  void Add(const std::string& entry, int listen_port, int target_port, const std::string& from = "") {
     const int listener = ListenOn(listen_port);
-    std::thread([this, entry, listener, target_port] {
+    std::thread([this, entry, listener, target_port, from] {
       while (true) {
         const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0) continue;
-        std::thread([this, entry, fd, target_port] { Pass(entry, fd, target_port); }).detach();
+        std::thread([this, entry, fd, target_port, from] { Pass(entry, fd, target_port, from); }).detach();
       }
     }).detach();
   }
-  void Cut(const std::string& entry) {
+  void Cut(const std::string& entry, const std::string& reachable_agent) {
     const std::lock_guard lock(mutex_);
     cut_ = entry;
-    ++changes_;
+    reachable_agent_ = reachable_agent;
   }
   void Heal() {
     const std::lock_guard lock(mutex_);
     cut_.clear();
-    ++changes_;
   }
 
  private:
   bool IsCut(const std::string& from, const std::string& to) {
     const std::lock_guard lock(mutex_);
     if (cut_.empty() || from.empty()) return false;
-    return from.starts_with("entry-") && (from == cut_ || to == cut_);
+    return from == cut_ || (to == cut_ && from != reachable_agent_);
   }
   /// The name of the process that dialled, from its first WebSocket frame.
   static std::string NameIn(const std::string& bytes) {
@@ -594,7 +595,7 @@
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     ::close(fd);
   }
-  void Pass(const std::string& entry, int client, int target_port) {
+  void Pass(const std::string& entry, int client, int target_port, const std::string& from) {
     const int server = ConnectTo(target_port);
     if (server < 0) {
       ResetAndClose(client);
@@ -604,8 +605,8 @@
     ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
     std::string sent;          // by the client, until it is known who it is
     std::string held;          // by the server after its handshake, until then
-    bool handshake = false;    // the server's has been passed on
-    std::string name;
+    std::string name = from;
+    bool handshake = !from.empty();  // the server's has been passed on
     bool was_cut = false;
     while (true) {
       const bool cut = IsCut(name, entry);
@@ -659,7 +660,7 @@
 
   std::mutex mutex_;
   std::string cut_;
-  int changes_ = 0;
+  std::string reachable_agent_;
 };
 
 // ---- the project's programs
@@ -731,7 +732,7 @@
         processes_(folder) {
     std::set<int> ports;
     for (int i = 0; i < options_.entries; ++i) {
-      entries_.push_back({FreePort(), FreePort(), FreePort(), FreePort(), FreePort()});
+      entries_.push_back({FreePort(), FreePort(), FreePort(), FreePort(), FreePort(), FreePort()});
     }
     for (int i = 0; i < options_.agents; ++i) agents_.push_back({FreePort(), FreePort(), FreePort()});
   }
@@ -748,11 +749,12 @@
   void StartAll() {
     for (int i = 0; i < options_.entries; ++i) {
       proxies_.Add(EntryName(i), entries_[i].proxy, entries_[i].link);
+      proxies_.Add("store", entries_[i].store, store_port_, EntryName(i));
     }
     for (int i = 0; i < options_.entries; ++i) StartEntry(i);
     for (int i = 0; i < options_.agents; ++i) {
       StartAgent(i);
-      workers_.push_back(std::make_unique<Worker>("i-" + std::to_string(i), "zone-" + std::to_string(i % 2), "desk",
+      workers_.push_back(std::make_unique<Worker>("i-" + std::to_string(i), "zone-" + std::to_string(i), "desk",
                                                   agents_[i].app, agents_[i].registration, record_, starts_));
     }
   }
@@ -768,11 +770,11 @@
   void StartEntry(int entry) {
     const Entry& e = entries_[entry];
     processes_.Spawn(EntryName(entry), "target/geranium-entry",
-                     "[entry]\nid = " + EntryName(entry) + "\ndata_centre = zone-" + std::to_string(entry % 2) +
+                     "[entry]\nid = " + EntryName(entry) + "\ndata_centre = zone-" + std::to_string(entry) +
                          "\nlink_address = " + At(e.proxy) + "\nlink_listen_address = " + At(e.link) +
                          "\ncaller_address = " + At(e.caller) + "\nready_address = " + At(e.ready) +
                          "\nmetrics_address = " + At(e.metrics) + "\ngrace_s = 6\n\n[peers]\nentries = " + Seeds() +
-                         "\n\n[platform]\nstore_address = " + At(store_port_) + "\n");
+                         "\n\n[platform]\nstore_address = " + At(e.store) + "\n");
   }
   /// False if not all entries have been ready in time.
   bool WaitUntilReady() {
@@ -799,11 +801,13 @@
                              .dump());
   }
   /// Submits a job of `work_ms.size()` steps, each after the one before it.
+  /// `label`: what the workers must have; empty: any worker will do.
   Answer Submit(int entry, const std::string& queue, const std::string& id, const std::vector<int>& work_ms,
-                int timeout_ms) {
+                int timeout_ms, const std::string& label = "") {
     Json steps = Json::array();
     for (std::size_t i = 0; i < work_ms.size(); ++i) {
       Json step = {{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"estimated-ms", work_ms[i]}};
+      if (!label.empty()) step["requirements"] = label;
       if (i > 0) step["depends-on"] = {i - 1};
       steps.push_back(step);
     }
@@ -832,7 +836,7 @@
 
  private:
   struct Entry {
-    int proxy, link, caller, ready, metrics;
+    int proxy, link, caller, ready, metrics, store;
   };
   struct Agent {
     int registration, app, metrics;
