--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -1,5 +1,5 @@
-// A small site for the scripts of this review: the platform's store, workers and
-// clients as PROTOCOL.md tells them, a proxy in front of each entry's link
+// A small site for the scripts of this review: the platform's store, workers
+// and clients as PROTOCOL.md tells them, a proxy in front of each entry's link
 // address, and the project's own programs as processes. Everything is on
 // loopback, in one process with a thread for each connection.
 #ifndef REVIEW_SITE_H_
@@ -48,15 +48,19 @@
 
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(std::fopen(path.c_str(), "w")) {
+  explicit Record(const std::string& path)
+      : file_(std::fopen(path.c_str(), "w")) {
     if (file_ == nullptr) std::exit(2);
   }
   std::int64_t Now() const {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - start_).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() -
+                                                                 start_)
+        .count();
   }
   void Write(const std::string& text) {
     const std::lock_guard lock(mutex_);
-    std::fprintf(file_, "%7.3f  %s\n", static_cast<double>(Now()) / 1000.0, text.c_str());
+    std::fprintf(file_, "%7.3f  %s\n", static_cast<double>(Now()) / 1000.0,
+                 text.c_str());
     std::fflush(file_);
   }
 
@@ -70,16 +74,17 @@
 
 /// A port that nothing uses, below those that the system gives to clients.
 inline int FreePort() {
-  static int next = 12'000 + static_cast<int>(std::random_device()() % 15'000U);
+  static int next = 12'000 + static_cast<int>(std::random_device()() % 6'000U);
   while (true) {
     const int port = next++;
-    if (next > 30'000) next = 12'000;
+    if (next > 18'999) next = 12'000;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    const bool is_free =
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     ::close(fd);
     if (is_free) return port;
   }
@@ -98,7 +103,8 @@
   const int one = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   const sockaddr_in address = Loopback(port);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
+          0 ||
       ::listen(fd, 128) != 0) {
     std::fprintf(stderr, "cannot listen on %d\n", port);
     std::exit(2);
@@ -109,7 +115,8 @@
 inline int ConnectTo(int port) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in address = Loopback(port);
-  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                sizeof address) != 0) {
     ::close(fd);
     return -1;
   }
@@ -121,7 +128,8 @@
 inline bool WriteAll(int fd, const std::string& bytes) {
   std::size_t at = 0;
   while (at < bytes.size()) {
-    const auto sent = ::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    const auto sent =
+        ::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
     if (sent <= 0) return false;
     at += static_cast<std::size_t>(sent);
   }
@@ -137,7 +145,8 @@
 };
 
 /// Reads one message; false at the end of the connection or after the time.
-inline bool ReadHttp(int fd, std::string& buffer, HttpMessage& message, int timeout_ms) {
+inline bool ReadHttp(int fd, std::string& buffer, HttpMessage& message,
+                     int timeout_ms) {
   const auto until = Steady::now() + std::chrono::milliseconds(timeout_ms);
   std::size_t length = 0;
   std::size_t end = std::string::npos;
@@ -154,9 +163,12 @@
           const std::size_t colon = line.find(':');
           if (colon != std::string::npos) {
             std::string name = line.substr(0, colon);
-            for (char& c : name) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+            for (char& c : name)
+              c = static_cast<char>(
+                  std::tolower(static_cast<unsigned char>(c)));
             const std::size_t value = line.find_first_not_of(' ', colon + 1);
-            message.headers[name] = value == std::string::npos ? "" : line.substr(value);
+            message.headers[name] =
+                value == std::string::npos ? "" : line.substr(value);
           }
           at = next;
         }
@@ -169,9 +181,12 @@
       buffer.erase(0, end + 4 + length);
       return true;
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Steady::now()).count();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          until - Steady::now())
+                          .count();
     pollfd waiting{fd, POLLIN, 0};
-    if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) <= 0) return false;
+    if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) <= 0)
+      return false;
     char bytes[16384];
     const auto read = ::recv(fd, bytes, sizeof bytes, 0);
     if (read <= 0) return false;
@@ -189,14 +204,16 @@
   std::string method, path, query;
   std::map<std::string, std::string> headers;
   std::string body;
-  std::string Query(const std::string& name, const std::string& fallback = "") const {
+  std::string Query(const std::string& name,
+                    const std::string& fallback = "") const {
     std::size_t at = 0;
     while (at < query.size()) {
       std::size_t end = query.find('&', at);
       if (end == std::string::npos) end = query.size();
       const std::string part = query.substr(at, end - at);
       const std::size_t equals = part.find('=');
-      if (equals != std::string::npos && part.substr(0, equals) == name) return part.substr(equals + 1);
+      if (equals != std::string::npos && part.substr(0, equals) == name)
+        return part.substr(equals + 1);
       at = end + 1;
     }
     return fallback;
@@ -239,9 +256,11 @@
       request.body = message.body;
       const auto reply = handler_(request);
       if (!reply) break;
-      const std::string head = "HTTP/1.1 " + std::to_string(reply->status) + " Status\r\nContent-Type: " +
-                               reply->type + "\r\nContent-Length: " + std::to_string(reply->body.size()) +
-                               "\r\n\r\n";
+      const std::string head =
+          "HTTP/1.1 " + std::to_string(reply->status) +
+          " Status\r\nContent-Type: " + reply->type +
+          "\r\nContent-Length: " + std::to_string(reply->body.size()) +
+          "\r\n\r\n";
       if (!WriteAll(fd, head + reply->body)) break;
     }
     ::close(fd);
@@ -256,8 +275,9 @@
   std::string body;
 };
 
-inline Answer Call(int port, const std::string& method, const std::string& target,
-                   const std::string& body, const std::map<std::string, std::string>& headers,
+inline Answer Call(int port, const std::string& method,
+                   const std::string& target, const std::string& body,
+                   const std::map<std::string, std::string>& headers,
                    int timeout_ms) {
   Answer answer;
   const int fd = ConnectTo(port);
@@ -266,13 +286,17 @@
     return answer;
   }
   std::string text = method + " " + target + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
-  if (!headers.contains("Host")) text += "Host: 127.0.0.1:" + std::to_string(port) + "\r\n";
-  text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  for (const auto& [name, value] : headers)
+    text += name + ": " + value + "\r\n";
+  if (!headers.contains("Host"))
+    text += "Host: 127.0.0.1:" + std::to_string(port) + "\r\n";
+  text += "Content-Type: application/json\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body;
   std::string buffer;
   HttpMessage message;
   if (WriteAll(fd, text) && ReadHttp(fd, buffer, message, timeout_ms)) {
-    answer.status = std::atoi(message.first_line.c_str() + message.first_line.find(' ') + 1);
+    answer.status = std::atoi(message.first_line.c_str() +
+                              message.first_line.find(' ') + 1);
     answer.body = message.body;
   }
   ::close(fd);
@@ -284,7 +308,9 @@
 class Store {
  public:
   Store(int port, Record& record)
-      : record_(record), server_(port, [this](const Request& request) { return Serve(request); }) {}
+      : record_(record), server_(port, [this](const Request& request) {
+          return Serve(request);
+        }) {}
 
   void Put(const std::string& key, const std::string& value) {
     {
@@ -292,24 +318,30 @@
       records_.emplace_back(key, value);
     }
     changed_.notify_all();
-    record_.Write("operator writes op/" + key + " " + value + " (acknowledged)");
+    record_.Write("operator writes op/" + key + " " + value +
+                  " (acknowledged)");
   }
 
  private:
   static std::string BigEndian(std::uint64_t value, int bytes) {
     std::string text;
-    for (int i = bytes - 1; i >= 0; --i) text.push_back(static_cast<char>(value >> (8 * i) & 0xffU));
+    for (int i = bytes - 1; i >= 0; --i)
+      text.push_back(static_cast<char>(value >> (8 * i) & 0xffU));
     return text;
   }
   static std::string Base64(const std::string& text) {
-    static constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static constexpr char kDigits[] =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string out;
     for (std::size_t i = 0; i < text.size(); i += 3) {
       std::uint32_t bits = 0;
       for (std::size_t j = 0; j < 3; ++j)
-        bits = bits << 8U | (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U);
+        bits = bits << 8U |
+               (i + j < text.size() ? static_cast<unsigned char>(text[i + j])
+                                    : 0U);
       for (std::size_t j = 0; j < 4; ++j)
-        out.push_back(i + j > text.size() ? '=' : kDigits[bits >> (18 - 6 * j) & 63U]);
+        out.push_back(
+            i + j > text.size() ? '=' : kDigits[bits >> (18 - 6 * j) & 63U]);
     }
     return out;
   }
@@ -317,17 +349,24 @@
     std::unique_lock lock(mutex_);
     if (request.path == "/-/log-newest") {
       std::map<std::string, std::size_t> newest;
-      for (std::size_t i = 0; i < records_.size(); ++i) newest[records_[i].first] = i;
+      for (std::size_t i = 0; i < records_.size(); ++i)
+        newest[records_[i].first] = i;
       Json items = Json::array();
       for (const auto& [key, offset] : newest) {
         if (records_[offset].second.empty()) continue;
-        items.push_back({{"key", key}, {"value", Base64(records_[offset].second)}, {"offset", offset}});
+        items.push_back({{"key", key},
+                         {"value", Base64(records_[offset].second)},
+                         {"offset", offset}});
       }
-      return Reply{200, Json{{"items", items}, {"has-more", false}, {"end-offset", records_.size()}}.dump()};
+      return Reply{200, Json{{"items", items},
+                             {"has-more", false},
+                             {"end-offset", records_.size()}}
+                            .dump()};
     }
     if (request.path != "/-/log-read") return Reply{404, "{}"};
     const std::size_t from = std::stoul(request.Query("from", "0"));
-    const auto wait = std::chrono::milliseconds(std::stol(request.Query("wait-ms", "0")));
+    const auto wait =
+        std::chrono::milliseconds(std::stol(request.Query("wait-ms", "0")));
     changed_.wait_for(lock, wait, [&] { return records_.size() > from; });
     std::string body = BigEndian(records_.size(), 8) + BigEndian(0, 8);
     for (std::size_t i = from; i < records_.size(); ++i) {
@@ -373,8 +412,8 @@
 
 class Worker {
  public:
-  Worker(std::string id, std::string zone, std::string service, int port, int agent_port, Record& record,
-         Starts& starts)
+  Worker(std::string id, std::string zone, std::string service, int port,
+         int agent_port, Record& record, Starts& starts)
       : id_(std::move(id)),
         zone_(std::move(zone)),
         service_(std::move(service)),
@@ -384,7 +423,8 @@
         born_(std::chrono::duration_cast<std::chrono::milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count()),
-        server_(port, [this](const Request& request) { return Serve(request); }) {
+        server_(port,
+                [this](const Request& request) { return Serve(request); }) {
     std::thread([this] {
       while (true) {
         SleepMs(2);
@@ -410,12 +450,16 @@
   };
 
   std::int64_t Clock() const {
-    return 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - begin_).count();
+    return 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(
+                      Steady::now() - begin_)
+                      .count();
   }
   void Advance() {
     const auto now = Steady::now();
     for (std::size_t i = 0; i < running_.size();) {
-      const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(now - running_[i].begun).count();
+      const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           now - running_[i].begun)
+                           .count();
       if (ran >= running_[i].work_ms) {
         EndRun(i, "done");
       } else if (Clock() > lease_) {
@@ -431,15 +475,20 @@
     std::uint64_t& highest = highest_[run.task];
     highest = std::max(highest, run.run);
     ends_.push_back({next_end_++, run.task, run.run, how});
-    record_.Write(id_ + " ends " + run.task + " run " + std::to_string(run.run) + ": " + how);
+    record_.Write(id_ + " ends " + run.task + " run " +
+                  std::to_string(run.run) + ": " + how);
     changed_.notify_all();
   }
   void Extend(const Json& body) {
     if (!body.contains("deadline-ms")) return;
-    lease_ = std::max(lease_, std::min(body.at("deadline-ms").get<std::int64_t>(), Clock() + kMaxHoldMs));
+    lease_ =
+        std::max(lease_, std::min(body.at("deadline-ms").get<std::int64_t>(),
+                                  Clock() + kMaxHoldMs));
   }
   Reply Rejected(const std::string& reason) const {
-    return Reply{409, Json{{"clock-ms", Clock()}, {"reason", reason}, {"born", born_}}.dump()};
+    return Reply{
+        409, Json{{"clock-ms", Clock()}, {"reason", reason}, {"born", born_}}
+                 .dump()};
   }
   std::optional<Reply> Serve(const Request& request) {
     const auto named = request.headers.find("expect-instance");
@@ -468,18 +517,23 @@
       highest = std::max(highest, run);
     } else if (request.path == "/-/run-start") {
       for (const Run& each : running_) {
-        if (each.task == task && each.run == run) return Reply{200, Json{{"clock-ms", Clock()}, {"born", born_}}.dump()};
+        if (each.task == task && each.run == run)
+          return Reply{200,
+                       Json{{"clock-ms", Clock()}, {"born", born_}}.dump()};
       }
       Extend(body);
       const auto highest = highest_.find(task);
-      if (highest != highest_.end() && run <= highest->second) return Rejected("old");
+      if (highest != highest_.end() && run <= highest->second)
+        return Rejected("old");
       if (lease_ <= Clock()) return Rejected("late");
       const Json spec = Json::parse(body.value("spec", ""), nullptr, false);
       // ID.K.STEP.INDEX: each step has its own amount of work.
       const std::size_t last = task.rfind('.');
       const std::size_t before = task.rfind('.', last - 1);
-      const std::size_t step = std::stoul(task.substr(before + 1, last - before - 1));
-      running_.push_back({task, run, Steady::now(), spec.at("work-ms").at(step).get<std::int64_t>()});
+      const std::size_t step =
+          std::stoul(task.substr(before + 1, last - before - 1));
+      running_.push_back({task, run, Steady::now(),
+                          spec.at("work-ms").at(step).get<std::int64_t>()});
       starts_.Add({task, run, id_, record_.Now()});
       record_.Write(id_ + " starts " + task + " run " + std::to_string(run));
     } else {
@@ -491,27 +545,50 @@
     Extend(body);
     const std::uint64_t acked = body.value("acked-through", std::uint64_t{0});
     std::erase_if(ends_, [&](const End& end) { return end.number <= acked; });
-    const auto wait = std::chrono::milliseconds(std::min(2000, body.value("wait-ms", 0)));
-    changed_.wait_for(lock, wait, [&] { return !ends_.empty() && ends_.back().number > acked; });
+    const auto wait =
+        std::chrono::milliseconds(std::min(2000, body.value("wait-ms", 0)));
+    changed_.wait_for(lock, wait, [&] {
+      return !ends_.empty() && ends_.back().number > acked;
+    });
     Json running = Json::array();
     for (const Run& run : running_) {
-      const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - run.begun).count();
-      running.push_back({run.task, run.run, "", std::min<std::int64_t>(99, 100 * ran / std::max<std::int64_t>(1, run.work_ms)), 500});
+      const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Steady::now() - run.begun)
+                           .count();
+      running.push_back(
+          {run.task, run.run, "",
+           std::min<std::int64_t>(
+               99, 100 * ran / std::max<std::int64_t>(1, run.work_ms)),
+           500});
     }
     Json finished = Json::array();
     for (const End& end : ends_) {
       if (finished.size() == 500) break;
       finished.push_back({end.number, end.task, end.run, end.how, ""});
     }
-    return Reply{200, Json{{"clock-ms", Clock()}, {"born", born_}, {"running", running}, {"finished", finished}}.dump()};
+    return Reply{200, Json{{"clock-ms", Clock()},
+                           {"born", born_},
+                           {"running", running},
+                           {"finished", finished}}
+                          .dump()};
   }
   void Announce() {
     for (std::uint64_t sequence = 1;; ++sequence) {
-      const Json body = {{"service", service_}, {"address", "127.0.0.1:0"}, {"zone", zone_}, {"version", "v1"},
-                         {"slots", 8}, {"state", "ready"}, {"cold-left-ms", 0},
-                         {"capacity", {{"cpu", 32000}, {"mem-mb", 65536}, {"gpu", 0}}},
-                         {"labels", {"a", "r-" + id_}}, {"clock-ms", Clock()}, {"born", born_}, {"seq", sequence}};
-      (void)Call(agent_port_, "POST", "/-/Instances.Heartbeat/" + id_, body.dump(), {}, 1000);
+      const Json body = {
+          {"service", service_},
+          {"address", "127.0.0.1:0"},
+          {"zone", zone_},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"cold-left-ms", 0},
+          {"capacity", {{"cpu", 32000}, {"mem-mb", 65536}, {"gpu", 0}}},
+          {"labels", {"a", "r-" + id_}},
+          {"clock-ms", Clock()},
+          {"born", born_},
+          {"seq", sequence}};
+      (void)Call(agent_port_, "POST", "/-/Instances.Heartbeat/" + id_,
+                 body.dump(), {}, 1000);
       SleepMs(kHeartbeatMs);
     }
   }
@@ -537,20 +614,23 @@
 
 // ---- a proxy before each entry's link address
 
-/// Passes bytes between machines. A cut holds back what goes between an entry and
-/// the store, the other entries and all agents but one, both ways, also on new
-/// connections; all else passes. What was held back is lost: the connections are
-/// reset as the cut heals.
+/// Passes bytes between machines. A cut holds back what goes between an entry
+/// and the store, the other entries and all agents but one, both ways, also on
+/// new connections; all else passes. What was held back is lost: the
+/// connections are reset as the cut heals.
 class LinkProxies {
  public:
   /// `from`: who dials; empty if it is to be found in what is sent.
-  void Add(const std::string& entry, int listen_port, int target_port, const std::string& from = "") {
+  void Add(const std::string& entry, int listen_port, int target_port,
+           const std::string& from = "") {
     const int listener = ListenOn(listen_port);
     std::thread([this, entry, listener, target_port, from] {
       while (true) {
         const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0) continue;
-        std::thread([this, entry, fd, target_port, from] { Pass(entry, fd, target_port, from); }).detach();
+        std::thread([this, entry, fd, target_port, from] {
+          Pass(entry, fd, target_port, from);
+        }).detach();
       }
     }).detach();
   }
@@ -586,7 +666,8 @@
       plain.push_back(static_cast<char>(bytes[at + i] ^ mask[i % 4]));
     for (const char* prefix : {"entry-", "agent-"}) {
       const std::size_t found = plain.find(prefix);
-      if (found != std::string::npos && found + 7 <= plain.size()) return plain.substr(found, 7);
+      if (found != std::string::npos && found + 7 <= plain.size())
+        return plain.substr(found, 7);
     }
     return "";
   }
@@ -595,7 +676,8 @@
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     ::close(fd);
   }
-  void Pass(const std::string& entry, int client, int target_port, const std::string& from) {
+  void Pass(const std::string& entry, int client, int target_port,
+            const std::string& from) {
     const int server = ConnectTo(target_port);
     if (server < 0) {
       ResetAndClose(client);
@@ -603,8 +685,8 @@
     }
     const int one = 1;
     ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    std::string sent;          // by the client, until it is known who it is
-    std::string held;          // by the server after its handshake, until then
+    std::string sent;  // by the client, until it is known who it is
+    std::string held;  // by the server after its handshake, until then
     std::string name = from;
     bool handshake = !from.empty();  // the server's has been passed on
     bool was_cut = false;
@@ -668,7 +750,8 @@
 class Processes {
  public:
   explicit Processes(std::string folder) : folder_(std::move(folder)) {}
-  pid_t Spawn(const std::string& name, const std::string& program, const std::string& settings) {
+  pid_t Spawn(const std::string& name, const std::string& program,
+              const std::string& settings) {
     const std::string file = folder_ + "/" + name + ".ini";
     std::FILE* out = std::fopen(file.c_str(), "w");
     std::fputs(settings.c_str(), out);
@@ -680,7 +763,8 @@
       const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(fd, 1);
       ::dup2(fd, 2);
-      ::execl(program.c_str(), program.c_str(), "--settings", file.c_str(), static_cast<char*>(nullptr));
+      ::execl(program.c_str(), program.c_str(), "--settings", file.c_str(),
+              static_cast<char*>(nullptr));
       ::_exit(127);
     }
     pids_[name] = pid;
@@ -732,18 +816,27 @@
         processes_(folder) {
     std::set<int> ports;
     for (int i = 0; i < options_.entries; ++i) {
-      entries_.push_back({FreePort(), FreePort(), FreePort(), FreePort(), FreePort(), FreePort()});
+      entries_.push_back({FreePort(), FreePort(), FreePort(), FreePort(),
+                          FreePort(), FreePort()});
     }
-    for (int i = 0; i < options_.agents; ++i) agents_.push_back({FreePort(), FreePort(), FreePort()});
+    for (int i = 0; i < options_.agents; ++i)
+      agents_.push_back({FreePort(), FreePort(), FreePort()});
   }
 
-  static std::string EntryName(int entry) { return "entry-" + std::string(1, static_cast<char>('a' + entry)); }
-  static std::string At(int port) { return "127.0.0.1:" + std::to_string(port); }
+  static std::string EntryName(int entry) {
+    return "entry-" + std::string(1, static_cast<char>('a' + entry));
+  }
+  static std::string At(int port) {
+    return "127.0.0.1:" + std::to_string(port);
+  }
 
-  /// `less(i, j)` link addresses decide who dials whom: sorts the entries by them.
+  /// `less(i, j)` link addresses decide who dials whom: sorts the entries by
+  /// them.
   void SortEntriesByLinkAddress() {
     std::sort(entries_.begin(), entries_.end(),
-              [](const Entry& a, const Entry& b) { return At(a.proxy) < At(b.proxy); });
+              [](const Entry& a, const Entry& b) {
+                return At(a.proxy) < At(b.proxy);
+              });
   }
 
   void StartAll() {
@@ -754,34 +847,42 @@
     for (int i = 0; i < options_.entries; ++i) StartEntry(i);
     for (int i = 0; i < options_.agents; ++i) {
       StartAgent(i);
-      workers_.push_back(std::make_unique<Worker>("i-" + std::to_string(i), "zone-" + std::to_string(i), "desk",
-                                                  agents_[i].app, agents_[i].registration, record_, starts_));
+      workers_.push_back(std::make_unique<Worker>(
+          "i-" + std::to_string(i), "zone-" + std::to_string(i), "desk",
+          agents_[i].app, agents_[i].registration, record_, starts_));
     }
   }
   void StartAgent(int agent) {
     const std::string name = "agent-" + std::to_string(agent);
     const Agent& a = agents_[agent];
-    processes_.Spawn(name, "target/geranium-agent",
-                     "[agent]\nid = " + name + "\nregistration_address = " + At(a.registration) +
-                         "\nworker_address = " + At(a.app) + "\nlongest_lease_ms = 1000\nmetrics_address = " +
-                         At(a.metrics) + "\ngrace_s = 6\n\n[peers]\nentries = " + Seeds() +
-                         "\n\n[platform]\nstore_address = " + At(store_port_) + "\n");
+    processes_.Spawn(
+        name, "target/geranium-agent",
+        "[agent]\nid = " + name + "\nregistration_address = " +
+            At(a.registration) + "\nworker_address = " + At(a.app) +
+            "\nlongest_lease_ms = 1000\nmetrics_address = " + At(a.metrics) +
+            "\ngrace_s = 6\n\n[peers]\nentries = " + Seeds() +
+            "\n\n[platform]\nstore_address = " + At(store_port_) + "\n");
   }
   void StartEntry(int entry) {
     const Entry& e = entries_[entry];
-    processes_.Spawn(EntryName(entry), "target/geranium-entry",
-                     "[entry]\nid = " + EntryName(entry) + "\ndata_centre = zone-" + std::to_string(entry) +
-                         "\nlink_address = " + At(e.proxy) + "\nlink_listen_address = " + At(e.link) +
-                         "\ncaller_address = " + At(e.caller) + "\nready_address = " + At(e.ready) +
-                         "\nmetrics_address = " + At(e.metrics) + "\ngrace_s = 6\n\n[peers]\nentries = " + Seeds() +
-                         "\n\n[platform]\nstore_address = " + At(e.store) + "\n");
+    processes_.Spawn(
+        EntryName(entry), "target/geranium-entry",
+        "[entry]\nid = " + EntryName(entry) + "\ndata_centre = zone-" +
+            std::to_string(entry) + "\nlink_address = " + At(e.proxy) +
+            "\nlink_listen_address = " + At(e.link) + "\ncaller_address = " +
+            At(e.caller) + "\nready_address = " + At(e.ready) +
+            "\nmetrics_address = " + At(e.metrics) +
+            "\ngrace_s = 6\n\n[peers]\nentries = " + Seeds() +
+            "\n\n[platform]\nstore_address = " + At(e.store) + "\n");
   }
   /// False if not all entries have been ready in time.
   bool WaitUntilReady() {
     for (int tries = 0; tries < 200; ++tries) {
       bool ready = true;
       for (const Entry& entry : entries_) {
-        ready = ready && Call(entry.ready, "GET", "/-/readyz", "", {}, 500).status == 200;
+        ready =
+            ready &&
+            Call(entry.ready, "GET", "/-/readyz", "", {}, 500).status == 200;
       }
       if (ready) return true;
       SleepMs(50);
@@ -791,40 +892,61 @@
   void Publish(int version, const std::vector<std::string>& queues) {
     Json routes = Json::array();
     for (const std::string& queue : queues) {
-      routes.push_back({{"name", queue}, {"host", "site.example"}, {"path-prefix", "/" + queue + "/"},
-                        {"service", "desk"}, {"priority", 1}, {"max-attempts", 4}, {"slack-factor", 1.5},
+      routes.push_back({{"name", queue},
+                        {"host", "site.example"},
+                        {"path-prefix", "/" + queue + "/"},
+                        {"service", "desk"},
+                        {"priority", 1},
+                        {"max-attempts", 4},
+                        {"slack-factor", 1.5},
                         {"target-latency-ms", 1000}});
     }
-    store_.Put("config", Json{{"version", version}, {"routes", routes},
-                              {"services", {{{"name", "desk"}, {"rejects-overload", false}}}},
-                              {"limits", {{"max-body-bytes", 262144}}}}
-                             .dump());
+    store_.Put(
+        "config",
+        Json{{"version", version},
+             {"routes", routes},
+             {"services", {{{"name", "desk"}, {"rejects-overload", false}}}},
+             {"limits", {{"max-body-bytes", 262144}}}}
+            .dump());
   }
   /// Submits a job of `work_ms.size()` steps, each after the one before it.
   /// `label`: what the workers must have; empty: any worker will do.
-  Answer Submit(int entry, const std::string& queue, const std::string& id, const std::vector<int>& work_ms,
-                int timeout_ms, const std::string& label = "") {
+  Answer Submit(int entry, const std::string& queue, const std::string& id,
+                const std::vector<int>& work_ms, int timeout_ms,
+                const std::string& label = "") {
     Json steps = Json::array();
     for (std::size_t i = 0; i < work_ms.size(); ++i) {
-      Json step = {{"count", 2}, {"cpu", 500}, {"mem-mb", 64}, {"estimated-ms", work_ms[i]}};
+      Json step = {{"count", 2},
+                   {"cpu", 500},
+                   {"mem-mb", 64},
+                   {"estimated-ms", work_ms[i]}};
       if (!label.empty()) step["requirements"] = label;
       if (i > 0) step["depends-on"] = {i - 1};
       steps.push_back(step);
     }
-    const Json body = {{"spec", Json{{"work-ms", work_ms}}.dump()}, {"best-effort", true}, {"steps", steps}};
-    record_.Write("client sends POST /" + queue + "/" + id + " to " + EntryName(entry));
-    const Answer answer = Call(entries_[entry].caller, "POST", "/" + queue + "/" + id, body.dump(),
-                               {{"Host", "site.example"}, {"Request-Deadline", std::to_string(timeout_ms)}}, timeout_ms);
-    record_.Write("client gets " + std::to_string(answer.status) + " " + answer.body + " to POST /" + queue + "/" + id);
+    const Json body = {{"spec", Json{{"work-ms", work_ms}}.dump()},
+                       {"best-effort", true},
+                       {"steps", steps}};
+    record_.Write("client sends POST /" + queue + "/" + id + " to " +
+                  EntryName(entry));
+    const Answer answer = Call(
+        entries_[entry].caller, "POST", "/" + queue + "/" + id, body.dump(),
+        {{"Host", "site.example"},
+         {"Request-Deadline", std::to_string(timeout_ms)}},
+        timeout_ms);
+    record_.Write("client gets " + std::to_string(answer.status) + " " +
+                  answer.body + " to POST /" + queue + "/" + id);
     return answer;
   }
   /// One DELETE; refusals to connect are not recorded.
   Answer Cancel(int entry, const std::string& queue, const std::string& id) {
-    const Answer answer = Call(entries_[entry].caller, "DELETE", "/" + queue + "/" + id, "",
-                               {{"Host", "site.example"}, {"Request-Deadline", "1500"}}, 1500);
+    const Answer answer =
+        Call(entries_[entry].caller, "DELETE", "/" + queue + "/" + id, "",
+             {{"Host", "site.example"}, {"Request-Deadline", "1500"}}, 1500);
     if (!answer.refused) {
-      record_.Write("client gets " + std::to_string(answer.status) + " " + answer.body + " to DELETE /" + queue + "/" +
-                    id + " from " + EntryName(entry));
+      record_.Write("client gets " + std::to_string(answer.status) + " " +
+                    answer.body + " to DELETE /" + queue + "/" + id + " from " +
+                    EntryName(entry));
     }
     return answer;
   }
@@ -843,7 +965,8 @@
   };
   std::string Seeds() const {
     std::string seeds;
-    for (const int seed : options_.seeds) seeds += (seeds.empty() ? "" : ",") + At(entries_[seed].proxy);
+    for (const int seed : options_.seeds)
+      seeds += (seeds.empty() ? "" : ",") + At(entries_[seed].proxy);
     return seeds;
   }
 
@@ -860,10 +983,12 @@
 };
 
 /// Starts of the job's tasks later than `limit`, on the record's clock.
-inline std::vector<Start> StartsAfter(Site& site, const std::string& job, std::int64_t limit) {
+inline std::vector<Start> StartsAfter(Site& site, const std::string& job,
+                                      std::int64_t limit) {
   std::vector<Start> late;
   for (const Start& start : site.starts().All()) {
-    if (start.task.starts_with(job + ".") && start.at > limit) late.push_back(start);
+    if (start.task.starts_with(job + ".") && start.at > limit)
+      late.push_back(start);
   }
   return late;
 }
