--- a/review/standins-2/run.sh
+++ b/review/standins-2/run.sh
@@ -10,7 +10,11 @@
 done
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 115 target/review-2/review-site "$1" "$case_folder/record.txt" "$folder"
+timeout -k 2 115 target/review-2/review-site "$1" "$case_folder/record.txt" "$folder" &
+running=$!
+# What the program started ends with it.
+trap 'kill "$running" 2>/dev/null; wait "$running"; exit 2' TERM INT HUP
+wait "$running"
 result=$?
 if [ -n "${KEEP_LOGS:-}" ]; then mkdir -p "$KEEP_LOGS" && cp "$folder"/*.log "$KEEP_LOGS"/; fi
 [ "$result" -le 2 ] || result=2
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -72,19 +72,37 @@
 
 // ---- sockets
 
+inline bool BindTo(int fd, int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+}
+
+/// The first port of a block that is this process's own: it stays bound, so
+/// that scripts that run side by side take other blocks.
+inline int ReserveBlock() {
+  constexpr int kFirst = 12'000;
+  constexpr int kBlocks = 70;
+  constexpr int kBlockSize = 100;
+  const int begin = static_cast<int>(std::random_device()() % kBlocks);
+  for (int i = 0; i < kBlocks; ++i) {
+    const int port = kFirst + (begin + i) % kBlocks * kBlockSize;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (BindTo(fd, port)) return port;
+    ::close(fd);
+  }
+  std::exit(2);
+}
+
 /// A port that nothing uses, below those that the system gives to clients.
 inline int FreePort() {
-  static int next = 12'000 + static_cast<int>(std::random_device()() % 6'000U);
+  static int next = ReserveBlock() + 1;
   while (true) {
     const int port = next++;
-    if (next > 18'999) next = 12'000;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool is_free =
-        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    const bool is_free = BindTo(fd, port);
     ::close(fd);
     if (is_free) return port;
   }
