Split StepScheduler into queue, ledger, placement, isolation and attempts

Cause: one class held the queue, the workers, the choice of a worker, the isolation of routes and the open orders, so that none of them could be tested or changed alone.

Change: JobQueue, WorkerLedger, Placement, RouteIsolation and AttemptTable are classes of their own; StepScheduler admits, orders and answers with them. With the default settings it decides as before.

--- a/bench/step_experiment.cc
+++ b/bench/step_experiment.cc
@@ -92,10 +92,12 @@
       parsed["wait-percent"].as<std::int64_t>();
   world_options.scheduler.admission.late_percent =
       parsed["late-percent"].as<std::int64_t>();
-  world_options.scheduler.urgent_ahead = parsed["urgent-ahead"].as<double>();
+  world_options.scheduler.placement.urgent_ahead =
+      parsed["urgent-ahead"].as<double>();
   world_options.scheduler.urgent_reserve =
       parsed["urgent-reserve"].as<double>();
-  world_options.scheduler.local_reserve = parsed["local-reserve"].as<double>();
+  world_options.scheduler.placement.local_reserve =
+      parsed["local-reserve"].as<double>();
   StepSimulator world(world_options);
   for (int i = 0; i < world_options.workers; ++i) {
     world.faults(i).unanswered = parsed["unanswered"].as<double>();
--- a/src/contract/route_table.h
+++ b/src/contract/route_table.h
@@ -12,13 +12,15 @@
 
 namespace geranium {
 
+constexpr int kMostUrgentPriority = 0;
+
 /// The service and scheduling parameters for jobs of a host and path prefix.
 struct Route {
   std::string name;
   std::string host;
   std::string path_prefix;
   ServiceName service;
-  int priority = 0;  ///< 0 is the most urgent.
+  int priority = 0;  ///< `kMostUrgentPriority` comes first.
   /// Response-time objective: slack_factor times the estimated critical path,
   /// plus this.
   Duration target_latency;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -1,7 +1,6 @@
 #include "entry/step_scheduler.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace geranium {
@@ -17,8 +16,18 @@
 StepScheduler::StepScheduler(StepSchedulerOptions options)
     : options_(std::move(options)),
       admission_(options_.admission),
+      queue_(options_.queue_order),
+      isolation_(workers_),
+      placement_(options_.placement, workers_, isolation_),
+      attempts_(options_.incarnation),
       urgent_reserve_(options_.urgent_reserve) {}
 
+void StepScheduler::SetRouteTable(const RouteTable* table) {
+  table_ = table;
+  isolation_.SetRouteTable(table);
+  placement_.SetRouteTable(table);
+}
+
 std::vector<StepAction> StepScheduler::TakeActions() {
   return std::exchange(actions_, {});
 }
@@ -34,7 +43,7 @@
 // ---- admission
 
 std::string StepScheduler::UnsupportedReason(const StepJob& job,
-                                             const Route& route) const {
+                                             const Route& route) {
   if (job.durable) return "stored jobs are not supported";
   if (job.repetitions > 0) return "scheduled jobs are not supported";
   if (route.uses_policy_service) return "queues with advice are not supported";
@@ -69,25 +78,13 @@
   return longest;
 }
 
-bool StepScheduler::FitsAnyWorker(const StepSpec& step,
-                                  const ServiceName& service) const {
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& item) {
-    const Worker& worker = item.second;
-    if (!worker.card || worker.card->service != service) return false;
-    const auto& labels = worker.card->labels;
-    const bool labelled = step.required_label.empty() ||
-                          std::find(labels.begin(), labels.end(),
-                                    step.required_label) != labels.end();
-    return labelled && worker.card->capacity.CanFit(step.size);
-  });
-}
-
 void StepScheduler::Submit(CallerHandle caller, StepJob spec,
                            const Route& route, Duration caller_timeout,
                            Precedent precedent, TimePoint now) {
   ++counters_.submitted;
   const JobNumber number = next_job_++;
-  Job job;
+  OpenStepJob job;
+  job.number = number;
   job.caller = caller;
   job.route = route;
   job.submitted = now;
@@ -99,11 +96,11 @@
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
     job.steps.emplace_back().tasks.resize(step.count);
-    fits = fits && FitsAnyWorker(step, route.service);
+    fits = fits && workers_.FitsAny(step, route.service);
   }
   job.spec = std::move(spec);
   const auto [inserted, is_new] = jobs_.emplace(number, std::move(job));
-  Job& kept = inserted->second;
+  OpenStepJob& kept = inserted->second;
   by_caller_[caller] = number;
   by_id_[kept.spec.id] = number;
   if (AnswerIfGivenUp(kept, now)) {
@@ -118,7 +115,7 @@
     Answer(kept, RefusalOf(kept), kRetryAfter,
            "jobs of the route crash workers, and the few kept for it are busy",
            now);
-  } else if (const Backlog backlog = EstimateBacklog(route.priority);
+  } else if (const Backlog backlog = EstimateBacklog(kept);
              !discovering_ &&
              admission_.IsQueueTooLong(kept.deadlines, backlog, now)) {
     Answer(kept, RefusalOf(kept), Admission::RetryAfter(kept.spec.id, backlog),
@@ -129,91 +126,44 @@
       urgent_reserve_.OnAdmitted(CoreMs(kept.spec), now);
     }
     UnblockSteps(kept);
-    if (kept.waiting > 0) queue_.insert(QueueKeyOf(kept, number));
+    if (kept.waiting > 0) queue_.Insert(kept);
   }
   EraseIfDone(number);
 }
 
 // A refusal says that nothing of the job has run or will run, which is not
 // known of a job that an earlier entry had.
-StepAnswer StepScheduler::RefusalOf(const Job& job) {
+StepAnswer StepScheduler::RefusalOf(const OpenStepJob& job) {
   return job.may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
 }
 
-double StepScheduler::CoreMs(const StepJob& job) {
-  double sum = 0;
-  for (const StepSpec& step : job.steps) {
-    sum += static_cast<double>(step.count) * step.size.cpu *
-           static_cast<double>(step.estimate.ms());
-  }
-  return sum;
-}
-
-// Assumes that a worker's cores are shared evenly by the entries linked to it.
-double StepScheduler::CapacityShare(TimePoint now) const {
-  double cpu = 0;
-  for (const auto& [agent, worker] : workers_) {
-    const bool counts = worker.link && worker.card && worker.report.accepting &&
-                        !IsOnProbation(worker) &&
-                        now - worker.last_heard <= kWorkerStaleTimeout &&
-                        !isolated_agents_.contains(agent);
-    if (!counts) continue;
-    cpu += worker.card->capacity.cpu / std::max(worker.report.entries, 1U);
-  }
-  return cpu;
-}
-
-// Divides the estimated work of all waiting tasks by this entry's share of the
-// workers' cores.
-Backlog StepScheduler::EstimateBacklog(int priority) const {
-  double in_time = 0;
-  double total = 0;
-  for (const QueueKey& key : queue_) {
-    const Job& job = jobs_.at(key.number);
-    double core_ms = 0;
-    for (std::size_t s = 0; s < job.steps.size(); ++s) {
-      const StepSpec& step = job.spec.steps[s];
-      core_ms += static_cast<double>(job.steps[s].waiting) * step.size.cpu *
-                 static_cast<double>(step.estimate.ms());
-    }
-    total += core_ms;
-    if (!key.late && key.priority <= priority) in_time += core_ms;
-  }
-  const double share = std::max(capacity_share_, kMinCapacity);
-  return {Duration(static_cast<std::int64_t>(in_time / share)),
-          Duration(static_cast<std::int64_t>(total / share))};
+double StepScheduler::Cores() const {
+  return std::max(capacity_share_, kMinCapacity);
 }
 
 void StepScheduler::RequeueLateJobs(TimePoint now) {
-  std::vector<JobNumber> late;
-  for (const QueueKey& key : queue_) {
-    const Job& job = jobs_.at(key.number);
+  for (const JobNumber number : queue_.Jobs()) {
+    OpenStepJob& job = jobs_.at(number);
     const bool is_late =
         !job.late && !job.may_have_run && now > job.deadlines.latest_start;
-    if (is_late) late.push_back(key.number);
-  }
-  for (const JobNumber number : late) {
-    Job& job = jobs_.at(number);
-    queue_.erase(QueueKeyOf(job, number));
-    job.late = true;
-    queue_.insert(QueueKeyOf(job, number));
+    if (is_late) queue_.MarkLate(job);
   }
 }
 
-void StepScheduler::UnblockSteps(Job& job) {
+void StepScheduler::UnblockSteps(OpenStepJob& job) {
   for (std::size_t index = 0; index < job.steps.size(); ++index) {
-    Step& step = job.steps[index];
-    if (step.tasks.empty() || step.tasks[0].state != TaskState::kBlocked) {
+    StepProgress& step = job.steps[index];
+    if (step.tasks.empty() || step.tasks[0].state != StepTaskState::kBlocked) {
       continue;
     }
     const auto& dependencies = job.spec.steps[index].dependencies;
-    const bool ready = std::all_of(dependencies.begin(), dependencies.end(),
-                                   [&](std::size_t earlier) {
-                                     const Step& other = job.steps.at(earlier);
-                                     return other.done == other.tasks.size();
-                                   });
+    const bool ready = std::all_of(
+        dependencies.begin(), dependencies.end(), [&](std::size_t earlier) {
+          const StepProgress& other = job.steps.at(earlier);
+          return other.done == other.tasks.size();
+        });
     if (!ready) continue;
-    for (StepTask& task : step.tasks) task.state = TaskState::kWaiting;
+    for (StepTask& task : step.tasks) task.state = StepTaskState::kWaiting;
     step.waiting += step.tasks.size();
     job.waiting += step.tasks.size();
   }
@@ -242,7 +192,7 @@
 std::size_t StepScheduler::CountPending(const Route& route) const {
   return static_cast<std::size_t>(
       std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& item) {
-        const Job& job = item.second;
+        const OpenStepJob& job = item.second;
         return !job.answered && !job.may_have_run &&
                job.route.name == route.name;
       }));
@@ -260,7 +210,7 @@
 void StepScheduler::Release(const StepJobId& id, bool is_first, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
-  Job& job = jobs_.at(found->second);
+  OpenStepJob& job = jobs_.at(found->second);
   job.held = false;
   if (is_first) job.may_have_run = false;
   PlaceWaitingTasks(now);
@@ -273,7 +223,7 @@
     return;
   }
   const JobNumber number = found->second;
-  Job& job = jobs_.at(number);
+  OpenStepJob& job = jobs_.at(number);
   if (job.relinquished) return;
   job.relinquished = true;
   ++being_relinquished_[id];
@@ -285,8 +235,7 @@
 }
 
 Duration StepScheduler::WorkTime(const StepJob& job) const {
-  const double share = std::max(capacity_share_, kMinCapacity);
-  return Duration(static_cast<std::int64_t>(CoreMs(job) / share));
+  return Duration(static_cast<std::int64_t>(CoreMs(job) / Cores()));
 }
 
 std::size_t StepScheduler::AbandonOpenJobs(const std::string& reason,
@@ -303,14 +252,15 @@
 // ---- placing
 
 void StepScheduler::OnTick(TimePoint now) {
-  median_slowness_ = MedianSlowness();
-  capacity_share_ = CapacityShare(now);
-  reserved_fraction_ = urgent_reserve_.Fraction(capacity_share_, now);
+  workers_.Update();
+  capacity_share_ = workers_.CapacityShare(isolation_.agents(), now);
+  placement_.SetUrgentReserve(urgent_reserve_.Fraction(capacity_share_, now));
   ExpireSilentWorkers(now);
   UpdateIsolation(now);
   ExpireJobs(now);
   RefuseIsolatedJobs(now);
   RequeueLateJobs(now);
+  if (options_.refuse_late) RefuseLateJobs(now);
   PlaceWaitingTasks(now);
 }
 
@@ -323,23 +273,55 @@
     if (now >= end) expired.push_back(number);
   }
   for (const JobNumber number : expired) {
-    Job& job = jobs_.at(number);
+    OpenStepJob& job = jobs_.at(number);
     if (job.may_have_run) {
       Answer(job, StepAnswer::kAbandoned, Duration(0),
              "the caller's timeout expired", now);
     } else {
-      Answer(job, StepAnswer::kRefused,
-             Admission::RetryAfter(job.spec.id,
-                                   EstimateBacklog(job.route.priority)),
-             "no worker had free capacity before the start deadline", now);
+      RefuseWaiting(
+          number, "no worker had free capacity before the start deadline", now);
+      continue;
     }
     EraseIfDone(number);
   }
 }
 
-void StepScheduler::LogAdmitted(const Job& job, Duration expected_wait) {
+void StepScheduler::RefuseWaiting(JobNumber number, const std::string& reason,
+                                  TimePoint now) {
+  OpenStepJob& job = jobs_.at(number);
+  Answer(job, StepAnswer::kRefused,
+         Admission::RetryAfter(job.spec.id, EstimateBacklog(job)), reason, now);
+  EraseIfDone(number);
+}
+
+// Nothing of these jobs has run, so the refusal is true, and their callers
+// learn at once what they would learn at the deadline.
+void StepScheduler::RefuseLateJobs(TimePoint now) {
+  if (!late_jobs_.IsUnderPressure(now)) return;
+  double ahead = 0;
+  std::vector<JobNumber> refused;
+  for (const JobNumber number : queue_.LateJobs()) {
+    const OpenStepJob& job = jobs_.at(number);
+    if (job.may_have_run) continue;
+    const double core_ms = job.WaitingCoreMs();
+    if (late_jobs_.CanStartBy(ahead + core_ms, job.deadlines.start_deadline,
+                              now)) {
+      ahead += core_ms;
+    } else {
+      refused.push_back(number);
+    }
+  }
+  for (const JobNumber number : refused) {
+    ++counters_.refused_late;
+    RefuseWaiting(number, "it is late and could not start before its deadline",
+                  now);
+  }
+}
+
+void StepScheduler::LogAdmitted(const OpenStepJob& job,
+                                Duration expected_wait) {
   std::size_t tasks = 0;
-  for (const Step& step : job.steps) tasks += step.tasks.size();
+  for (const StepProgress& step : job.steps) tasks += step.tasks.size();
   Log(LogLevel::kInfo, "job_admitted",
       {{"job", job.spec.id.value()},
        {"route", job.route.name},
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <tuple>
+#include <optional>
 #include <utility>
 
 #include "entry/step_scheduler.h"
@@ -19,18 +19,16 @@
 
 void StepScheduler::EndAttempt(const AttemptId& id, AttemptEnd end,
                                const std::string& reason, TimePoint now) {
-  const auto found = attempts_.find(id);
-  if (found == attempts_.end()) return;
-  const Attempt attempt = found->second;
-  attempts_.erase(found);
-  const auto worker = workers_.find(attempt.agent);
-  if (worker != workers_.end()) worker->second.attempts.erase(id);
-  Job& job = jobs_.at(attempt.job);
+  const std::optional<OpenAttempt> closed = attempts_.Close(id);
+  if (!closed) return;
+  const OpenAttempt& attempt = *closed;
+  KnownWorker* where = workers_.Find(attempt.agent);
+  if (where != nullptr) where->attempts.erase(id);
+  OpenStepJob& job = jobs_.at(attempt.job);
   StepTask& task = job.steps[attempt.step].tasks[attempt.task];
   task.attempt.reset();
   --job.open_attempts;
   if (!job.answered) {
-    const Worker* where = worker == workers_.end() ? nullptr : &worker->second;
     if (end != AttemptEnd::kDone) {
       LogReturned(job, attempt, where, end, reason, now);
     }
@@ -59,18 +57,19 @@
         RequeueTask(job, attempt.step, task);
         break;
       case AttemptEnd::kCrashed:
-        OnTaskCrashed(job, attempt.step, attempt.task, now);
+        OnTaskCrashed(job, attempt.step, task, now);
         break;
     }
     if (!job.answered && job.waiting > 0) {
-      queue_.insert(QueueKeyOf(job, attempt.job));
+      queue_.Insert(job);
     }
   }
   EraseIfDone(attempt.job);
 }
 
-void StepScheduler::LogReturned(const Job& job, const Attempt& attempt,
-                                const Worker* worker, AttemptEnd end,
+void StepScheduler::LogReturned(const OpenStepJob& job,
+                                const OpenAttempt& attempt,
+                                const KnownWorker* worker, AttemptEnd end,
                                 const std::string& reason, TimePoint now) {
   const StepTask& task = job.steps[attempt.step].tasks[attempt.task];
   Log(LogLevel::kInfo, "attempt_returned",
@@ -86,22 +85,23 @@
        {"age_ms", std::to_string((now - attempt.sent).ms())}});
 }
 
-void StepScheduler::OnTaskDone(Job& job, std::size_t step, StepTask& task,
-                               TimePoint now) {
-  task.state = TaskState::kDone;
-  Step& state = job.steps[step];
+void StepScheduler::OnTaskDone(OpenStepJob& job, std::size_t step,
+                               StepTask& task, TimePoint now) {
+  task.state = StepTaskState::kDone;
+  StepProgress& state = job.steps[step];
   if (++state.done < state.tasks.size()) return;
   UnblockSteps(job);
   const bool all = std::all_of(
       job.steps.begin(), job.steps.end(),
-      [](const Step& each) { return each.done == each.tasks.size(); });
+      [](const StepProgress& each) { return each.done == each.tasks.size(); });
   if (all) Answer(job, StepAnswer::kCompleted, Duration(0), "", now);
 }
 
 // A failure at a worker that fails most of its runs says nothing about the
 // task, so it is not counted.
-void StepScheduler::OnTaskFailed(Job& job, std::size_t step, StepTask& task,
-                                 const Worker* worker, TimePoint now) {
+void StepScheduler::OnTaskFailed(OpenStepJob& job, std::size_t step,
+                                 StepTask& task, const KnownWorker* worker,
+                                 TimePoint now) {
   const bool worker_at_fault = worker != nullptr && worker->report.failing;
   if (worker != nullptr && worker->card) task.avoid_worker = worker->card->id;
   if (!worker_at_fault) ++task.failures;
@@ -113,14 +113,16 @@
   RequeueTask(job, step, task);
 }
 
-void StepScheduler::RequeueTask(Job& job, std::size_t step, StepTask& task) {
-  task.state = TaskState::kWaiting;
+void StepScheduler::RequeueTask(OpenStepJob& job, std::size_t step,
+                                StepTask& task) {
+  task.state = StepTaskState::kWaiting;
   ++job.steps[step].waiting;
   ++job.waiting;
 }
 
-void StepScheduler::Answer(Job& job, StepAnswer answer, Duration retry_after,
-                           const std::string& reason, TimePoint now) {
+void StepScheduler::Answer(OpenStepJob& job, StepAnswer answer,
+                           Duration retry_after, const std::string& reason,
+                           TimePoint now) {
   if (job.answered) return;
   job.answered = true;
   by_caller_.erase(job.caller);
@@ -157,21 +159,22 @@
   StopRuns(job);
 }
 
-void StepScheduler::StopRuns(Job& job) {
-  for (const Step& step : job.steps) {
+void StepScheduler::StopRuns(OpenStepJob& job) {
+  for (const StepProgress& step : job.steps) {
     for (const StepTask& task : step.tasks) {
       if (!task.attempt) continue;
-      const Worker& worker = workers_.at(attempts_.at(*task.attempt).agent);
-      if (worker.link) Send(*worker.link, StopTask{*task.attempt});
+      const KnownWorker* worker =
+          workers_.Find(attempts_.At(*task.attempt).agent);
+      if (worker->link) Send(*worker->link, StopTask{*task.attempt});
     }
   }
 }
 
 void StepScheduler::EraseIfDone(JobNumber number) {
   const auto found = jobs_.find(number);
-  Job& job = found->second;
+  OpenStepJob& job = found->second;
   if (!job.answered) return;
-  queue_.erase(QueueKeyOf(job, number));
+  queue_.Erase(job);
   if (job.open_attempts > 0) return;
   if (job.relinquished) {
     const auto relinquished = being_relinquished_.find(job.spec.id);
@@ -187,31 +190,14 @@
 
 // ---- workers
 
-StepScheduler::Worker* StepScheduler::FindByLink(LinkId link) {
-  const auto found = by_link_.find(link);
-  return found == by_link_.end() ? nullptr : &workers_.at(found->second);
-}
-
 void StepScheduler::OnWorkerLinkUp(LinkId link, Incarnation agent,
                                    TimePoint now) {
-  Worker& worker = workers_[agent];
-  // Read late: the agent has closed it, and lists no order sent since.
-  if (link < worker.newest_link) return;
-  if (worker.link) by_link_.erase(*worker.link);
-  worker.agent = agent;
-  worker.link = link;
-  worker.newest_link = link;
-  worker.last_heard = now;
-  worker.cpu_sent = 0;
-  worker.report = WorkerReport{};
-  by_link_[link] = agent;
+  workers_.OnLinkUp(link, agent, now);
 }
 
 void StepScheduler::OnWorkerLinkDown(LinkId link, TimePoint now) {
-  Worker* worker = FindByLink(link);
+  const KnownWorker* worker = workers_.OnLinkDown(link);
   if (worker == nullptr) return;
-  worker->link.reset();
-  by_link_.erase(link);
   Log(LogLevel::kWarning, "worker_link_down",
       {{"worker", worker->card ? worker->card->id.value() : ""},
        {"open_attempts", std::to_string(worker->attempts.size())},
@@ -219,7 +205,7 @@
 }
 
 void StepScheduler::OnLinkActivity(LinkId link, TimePoint now) {
-  Worker* worker = FindByLink(link);
+  KnownWorker* worker = workers_.FindByLink(link);
   if (worker != nullptr) worker->last_heard = now;
 }
 
@@ -227,11 +213,11 @@
 // itself settled. A card of the predecessor may still arrive, over an older
 // link.
 void StepScheduler::On(LinkId link, const WorkerCard& card, TimePoint now) {
-  Worker* worker = FindByLink(link);
+  KnownWorker* worker = workers_.FindByLink(link);
   if (worker == nullptr) return;
   worker->card = card;
   if (!card.previous_runs_ended) return;
-  for (auto& [agent, other] : workers_) {
+  for (auto& [agent, other] : workers_.workers()) {
     const bool replaced = other.newest_link < worker->newest_link &&
                           other.card && other.card->id == card.id &&
                           !other.attempts.empty();
@@ -240,13 +226,13 @@
 }
 
 void StepScheduler::On(LinkId link, const WorkerReport& report, TimePoint now) {
-  Worker* worker = FindByLink(link);
+  KnownWorker* worker = workers_.FindByLink(link);
   if (worker == nullptr) return;
   const bool accepted = worker->report.accepting;
-  const bool was_on_probation = IsOnProbation(*worker);
+  const bool was_on_probation = workers_.IsOnProbation(*worker);
   worker->report = report;
   worker->reported_at = now;
-  const bool on_probation = IsOnProbation(*worker);
+  const bool on_probation = workers_.IsOnProbation(*worker);
   if (accepted == report.accepting && was_on_probation == on_probation) return;
   Log(LogLevel::kInfo, "worker_state",
       {{"worker", worker->card ? worker->card->id.value() : ""},
@@ -254,17 +240,17 @@
        {"on_probation", on_probation ? "true" : "false"},
        {"failing", report.failing ? "true" : "false"},
        {"slowness", std::to_string(report.slowness)},
-       {"median_slowness", std::to_string(median_slowness_)}});
+       {"median_slowness", std::to_string(workers_.median_slowness())}});
 }
 
 void StepScheduler::On(LinkId link, const AttemptList& list, TimePoint now) {
-  Worker* worker = FindByLink(link);
+  KnownWorker* worker = workers_.FindByLink(link);
   if (worker == nullptr) return;
   const std::set<AttemptId> held(list.attempts.begin(), list.attempts.end());
   const std::set<AttemptId> expected = worker->attempts;
   for (const AttemptId& id : expected) {
     if (held.contains(id)) {
-      const Job& job = jobs_.at(attempts_.at(id).job);
+      const OpenStepJob& job = jobs_.at(attempts_.At(id).job);
       if (job.answered) Send(link, StopTask{id});
       continue;
     }
@@ -273,8 +259,8 @@
   }
 }
 
-void StepScheduler::MarkWorkerLost(Worker& worker, const std::string& reason,
-                                   TimePoint now) {
+void StepScheduler::MarkWorkerLost(KnownWorker& worker,
+                                   const std::string& reason, TimePoint now) {
   const std::set<AttemptId> attempts = worker.attempts;
   if (!attempts.empty()) {
     Log(LogLevel::kWarning, "worker_lost",
@@ -291,21 +277,12 @@
 
 void StepScheduler::ExpireSilentWorkers(TimePoint now) {
   std::vector<Incarnation> gone;
-  for (auto& [agent, worker] : workers_) {
+  for (auto& [agent, worker] : workers_.workers()) {
     if (now - worker.last_heard <= kWorkerLostTimeout) continue;
     MarkWorkerLost(worker, "not heard from within the time limit", now);
     if (!worker.link) gone.push_back(agent);
   }
-  for (const Incarnation agent : gone) workers_.erase(agent);
-}
-
-std::size_t StepScheduler::accepting_workers(TimePoint now) const {
-  return static_cast<std::size_t>(
-      std::count_if(workers_.begin(), workers_.end(), [&](const auto& item) {
-        const Worker& worker = item.second;
-        return worker.link && worker.report.accepting &&
-               now - worker.last_heard <= kWorkerStaleTimeout;
-      }));
+  for (const Incarnation agent : gone) workers_.Erase(agent);
 }
 
 }  // namespace geranium
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -50,8 +50,8 @@
   node.link_address = ReadAddress(entry, "link_address");
   settings.link_listen_address =
       ReadAddress(entry, "link_listen_address", node.link_address);
-  node.scheduler.data_centre = DataCentreName(entry.Required("data_centre"));
-  node.scheduler.cross_rack_factor =
+  node.scheduler.placement.data_centre = DataCentreName(entry.Required("data_centre"));
+  node.scheduler.placement.cross_rack_factor =
       static_cast<double>(
           entry.Integer("cross_rack_percent", 150, 100, 10'000)) /
       kPercent;
