Report freed cores to the entry that waits for them

Cause: see CapacityHold.

Change: StartTask has a last field more_waiting. The agent subtracts the cores held for other entries from the reports, and repeats a report that hid cores once a hold ends without an order. Orders are started as before.

--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -68,10 +68,13 @@
   int priority = 0;
   Duration estimate;
   Duration max_wait;  ///< For capacity, before the order is returned.
+  /// More of the entry's tasks wait that may run at this worker.
+  bool more_waiting = false;
 
   template <class A>
   void Fields(A& a) {
     a(attempt)(run)(route)(payload)(size)(priority)(estimate)(max_wait);
+    a(more_waiting);
   }
 };
 
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -73,6 +73,12 @@
                   Count(counts.moved));
   builder.Counter("geranium_session_crashes_total", "Crashes of the worker",
                   Count(counts.crashes));
+  builder.Counter("geranium_session_holds_total",
+                  "Ended runs whose cores were reported to their entry only",
+                  Count(counts.holds));
+  builder.Counter("geranium_session_holds_expired_total",
+                  "Holds that their entry did not claim in time",
+                  Count(counts.holds_expired));
   builder.Gauge("geranium_session_cores_running",
                 "CPU cores of tasks that run or may run", session.in_use().cpu);
   builder.Gauge("geranium_session_fresh",
--- a/src/worker/worker_session.cc
+++ b/src/worker/worker_session.cc
@@ -18,7 +18,8 @@
     : options_(std::move(options)),
       fencing_token_(options_.first_fencing_token),
       fencing_token_increment_(kInitialTokenIncrement),
-      selection_(options_.name, options_.entry_links) {}
+      selection_(options_.name, options_.entry_links),
+      hold_(options_.capacity_hold) {}
 
 std::vector<SessionAction> WorkerSession::TakeActions() {
   return std::exchange(actions_, {});
@@ -160,6 +161,12 @@
       std::any_of(peers_.begin(), peers_.end(),
                   [&](const auto& item) { return IsReportDue(item.second); });
   if (report_due) next = std::min(next, next_report_);
+  const bool cores_hidden =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [](const auto& item) { return item.second.cores_hidden; });
+  if (cores_hidden && hold_.next_expiry()) {
+    next = std::min(next, std::max(*hold_.next_expiry(), next_report_));
+  }
   if (worker_ && long_poll_ == 0) next = std::min(next, next_poll_);
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kQueued) {
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -14,6 +14,7 @@
 #include "base/log_message.h"
 #include "link/actions.h"
 #include "link/messages.h"
+#include "worker/capacity_hold.h"
 #include "worker/entry_selection.h"
 #include "worker/run_statistics.h"
 #include "worker/worker_calls.h"
@@ -28,6 +29,9 @@
   /// Links are kept to this many entries, so that the agent's load does not
   /// grow with the site (docs/CAPACITY.md).
   std::size_t entry_links = 4;
+  /// Cores freed by a run of an entry with waiting tasks are reported to this
+  /// entry only for so long (docs/design/capacity-hold.md); 0: to all at once.
+  Duration capacity_hold{0};
 };
 
 /// Side effects that WorkerSession requests from its host process.
@@ -47,6 +51,8 @@
   std::uint64_t stalled = 0;
   std::uint64_t moved = 0;    ///< Stopped in order to run on a faster worker.
   std::uint64_t crashes = 0;  ///< Of the backend server.
+  std::uint64_t holds = 0;    ///< Ended runs whose cores were held.
+  std::uint64_t holds_expired = 0;  ///< Without an order of their entry.
 };
 
 /// State machine of an agent whose backend server runs sized tasks under a
@@ -165,6 +171,7 @@
     std::uint64_t reported_version = 0;  ///< Of the state; 0: none.
     std::optional<WorkerCard> sent_card;
     bool task_end_sent = false;  ///< Since the last report.
+    bool cores_hidden = false;   ///< By the last report.
     /// When release of the link began; no new orders are accepted over it.
     std::optional<TimePoint> releasing_since;
   };
@@ -235,6 +242,11 @@
   void SendHeartbeats(TimePoint now);
   void SendReports(TimePoint now);
   void SendReport(LinkId link, Peer& peer, TimePoint now);
+  void ExpireHolds(TimePoint now);
+  void DropHolds(Incarnation entry);
+  void RepeatReportsThatHidCores();
+  /// Free cores that are held for other entries.
+  double HiddenCpu(const Peer& peer, TimePoint now) const;
   bool IsReportDue(const Peer& peer) const {
     return peer.hello && peer.reported_version != state_version_;
   }
@@ -293,6 +305,7 @@
   TimePoint next_selection_;
   Resources in_use_;
   RunStatistics run_statistics_;
+  CapacityHold hold_;
   TimePoint next_heartbeat_;
   TimePoint next_report_;
   std::uint64_t state_version_ = 1;  ///< Increases with what reports say.
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -13,6 +13,8 @@
 /// A link is closed this long after its entry was told to send no more orders,
 /// well above the time an order takes in transit.
 constexpr Duration kReleaseGracePeriod{300};
+/// Tolerance for rounding in sums of CPU shares.
+constexpr double kCpuEpsilon = 1e-6;
 
 }  // namespace
 
@@ -33,6 +35,7 @@
     Entry& entry = entries_[peer.hello->incarnation];
     if (entry.link == link) {
       entry.linked = false;
+      DropHolds(peer.hello->incarnation);
       selection_.OnUnlinked(peer.hello->link_address, now);
       next_selection_ = now;
     }
@@ -55,6 +58,7 @@
   selection_.Add(hello.link_address, now);
   selection_.OnLinked(hello.link_address);
   const bool is_new = !entries_.contains(hello.incarnation);
+  DropHolds(hello.incarnation);  // Of a link that this one replaces.
   Entry& entry = entries_[hello.incarnation];
   entry.name = hello.name;
   entry.link_address = hello.link_address;
@@ -118,6 +122,7 @@
     }
     if (!peer.releasing_since) {
       peer.releasing_since = now;
+      DropHolds(peer.hello->incarnation);
       ++state_version_;
     }
     if (now - *peer.releasing_since < kReleaseGracePeriod ||
@@ -185,6 +190,7 @@
 // The other entries get one report for all changes within an interval.
 // Heartbeats that are due soon share these frames.
 void WorkerSession::SendReports(TimePoint now) {
+  ExpireHolds(now);
   const bool to_all = now >= next_report_;
   bool sent = false;
   for (auto& [link, peer] : peers_) {
@@ -202,6 +208,7 @@
 void WorkerSession::SendReport(LinkId link, Peer& peer, TimePoint now) {
   peer.reported_version = state_version_;
   peer.task_end_sent = false;
+  peer.cores_hidden = HiddenCpu(peer, now) > kCpuEpsilon;
   if (worker_) {
     const WorkerCard card = Card();
     if (peer.sent_card != card) {
@@ -212,6 +219,34 @@
   Send(link, Report(peer, now));
 }
 
+// ---- cores held for entries whose tasks wait
+
+void WorkerSession::ExpireHolds(TimePoint now) {
+  const std::size_t expired = hold_.Expire(now);
+  if (expired == 0) return;
+  counters_.holds_expired += expired;
+  RepeatReportsThatHidCores();
+}
+
+void WorkerSession::DropHolds(Incarnation entry) {
+  if (hold_.Drop(entry)) RepeatReportsThatHidCores();
+}
+
+// A hold that ends changes nothing for the entry it was for, nor for those that
+// were sent no report meanwhile: a new version of the state would cost all of
+// them a frame.
+void WorkerSession::RepeatReportsThatHidCores() {
+  for (auto& [link, peer] : peers_) {
+    if (peer.cores_hidden) peer.reported_version = 0;
+  }
+}
+
+double WorkerSession::HiddenCpu(const Peer& peer, TimePoint now) const {
+  if (!worker_ || !peer.hello) return 0;
+  const double free = std::max(0.0, worker_->capacity.cpu - in_use_.cpu);
+  return std::min(free, hold_.HeldFrom(peer.hello->incarnation, now));
+}
+
 WorkerCard WorkerSession::Card() const {
   WorkerCard card;
   card.id = worker_->id;
@@ -230,6 +265,7 @@
   if (worker_) {
     report.free = worker_->capacity;
     report.free -= in_use_;
+    report.free.cpu -= HiddenCpu(peer, now);
   }
   report.cpu_received = peer.cpu_received;
   for (const auto& [id, attempt] : attempts_) {
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -61,6 +61,7 @@
   if (entries_[entry].link != link) return;
   ++counters_.orders;
   ++state_version_;
+  if (!peer.releasing_since) hold_.OnOrder(entry, order.more_waiting, now);
   const std::string refusal = RefusalReason(peer, entries_[entry], order, now);
   if (!refusal.empty()) {
     ++counters_.returned;
@@ -109,6 +110,7 @@
 
 void WorkerSession::Start(Attempt& attempt, TimePoint now) {
   in_use_ += attempt.order.size;
+  hold_.LimitTo(worker_->capacity.cpu - in_use_.cpu);
   attempt.state = State::kStarting;
   attempt.state_since = now;
   attempt.started_at = now;
@@ -276,6 +278,11 @@
        {"percent", std::to_string(done ? kDonePercent : attempt.percent)},
        {"slowness", std::to_string(run_statistics_.slowness())}});
   const Incarnation entry = attempt.entry;
+  // Cores are not held for a silent entry, which orders nothing.
+  if (attempt.has_run && IsAlive(entries_[entry], now) &&
+      hold_.OnRunEnded(entry, attempt.order.size.cpu, now)) {
+    ++counters_.holds;
+  }
   attempts_.erase(found);
   ++state_version_;
   SendTaskEnd(entry, TaskEnd{id, end, reason});
--- a/tests/malformed_messages_test.cc
+++ b/tests/malformed_messages_test.cc
@@ -19,7 +19,8 @@
 /// an agent do with those that can still be decoded.
 class MalformedMessagesTest {
  protected:
-  explicit MalformedMessagesTest() : node_(EntryOptions()), session_({}) {}
+  explicit MalformedMessagesTest()
+      : node_(EntryOptions()), session_(AgentOptions()) {}
 
   static StepEntryOptions EntryOptions() {
     StepEntryOptions options;
@@ -30,6 +31,12 @@
     return options;
   }
 
+  static WorkerSessionOptions AgentOptions() {
+    WorkerSessionOptions options;
+    options.capacity_hold = Duration(20);
+    return options;
+  }
+
   std::size_t Below(std::size_t bound) {
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random_);
   }
@@ -81,6 +88,7 @@
     start.run = TaskRun{TaskName("t"), 1 + Below(3)};
     start.size = Resources{8, 1, 0};
     start.estimate = Duration(50);
+    start.more_waiting = true;
     const std::vector<Message> all = {
         hello,
         card,
--- a/tests/worker_session_fixture.h
+++ b/tests/worker_session_fixture.h
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "worker/worker_session.h"
@@ -14,7 +15,8 @@
 /// A session with a worker of 32 cores, linked to two entries.
 class WorkerSessionTest {
  protected:
-  WorkerSessionTest() : session_(Options()) {
+  explicit WorkerSessionTest(WorkerSessionOptions options = Options())
+      : session_(std::move(options)) {
     WorkerAnnouncement worker;
     worker.id = WorkerId("w");
     worker.service = ServiceName("s");
@@ -119,6 +121,7 @@
     order.size = Resources{8, 1, 0};
     order.estimate = estimate_;
     order.max_wait = max_wait;
+    order.more_waiting = more_waiting_;
     session_.OnMessage(link, order, now_);
     return order.run;
   }
@@ -171,7 +174,8 @@
   inline static const LinkId kSecond{2};
 
   TimePoint now_{1000};
-  Duration estimate_{100};  ///< Of the next orders.
+  Duration estimate_{100};     ///< Of the next orders.
+  bool more_waiting_ = false;  ///< In the next orders.
   WorkerSession session_;
   std::uint64_t sequence_ = 0;  ///< Of the announcements.
   std::vector<SessionAction> actions_;
