--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -240,6 +240,7 @@
   bool discovering_ = true;
   /// This entry's share of the workers' cores.
   double capacity_share_ = 0;
+  bool left_waiting_ = false;  ///< The last pass left tasks waiting.
   std::vector<StepJobId> relinquished_;
   std::vector<StepJobId> ended_;
   StepCounters counters_;
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -31,6 +31,7 @@
     if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) queue_.Erase(job);
   }
+  left_waiting_ = !queue_.empty();
   late_jobs_.OnPlacingPass(queue_.has_jobs_in_time(), now);
 }
 
@@ -125,6 +126,7 @@
   order.priority = job.route.priority;
   order.estimate = placement_.EstimateAt(worker, spec);
   order.max_wait = MaxQueueWait(order.estimate);
+  order.more_waiting = left_waiting_;
   Send(*worker.link, std::move(order));
 }
 
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -20,6 +20,9 @@
                   {{"answer", "refused"}});
   builder.Counter(answers, help, Count(counts.abandoned),
                   {{"answer", "abandoned"}});
+  builder.Counter("geranium_step_refused_late_total",
+                  "Late jobs refused before their start deadline",
+                  Count(counts.refused_late));
   builder.Counter("geranium_step_cancelled_total",
                   "Step jobs cancelled by DELETE or by a caller's disconnect",
                   Count(counts.cancelled));
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -32,6 +32,16 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
+QueueOrder ReadQueueOrder(IniSection& section) {
+  const std::string name = section.Text("queue_order", "priority");
+  if (name == "latest_start") return QueueOrder::kLatestStart;
+  if (name != "priority") {
+    section.AddError("queue_order",
+                     "is '" + name + "'; expected priority or latest_start");
+  }
+  return QueueOrder::kPriority;
+}
+
 }  // namespace
 
 bool HasPlatformSection(const IniFile& file) {
@@ -50,11 +60,15 @@
   node.link_address = ReadAddress(entry, "link_address");
   settings.link_listen_address =
       ReadAddress(entry, "link_listen_address", node.link_address);
-  node.scheduler.placement.data_centre = DataCentreName(entry.Required("data_centre"));
+  node.scheduler.placement.data_centre =
+      DataCentreName(entry.Required("data_centre"));
   node.scheduler.placement.cross_rack_factor =
       static_cast<double>(
           entry.Integer("cross_rack_percent", 150, 100, 10'000)) /
       kPercent;
+  node.scheduler.queue_order = ReadQueueOrder(entry);
+  node.scheduler.refuse_late =
+      entry.Flag("refuse_late", node.scheduler.refuse_late);
   settings.caller_address = ReadAddress(entry, "caller_address");
   settings.ready_address = ReadAddress(entry, "ready_address");
   settings.metrics_address = ReadAddress(entry, "metrics_address");
