Report how well a worker's speed is known and when its first run should end

Entries need the number of runs behind the slowness to trust it, and the expected next end to decide whether a task waits for a full rack. WorkerReport gets the last fields speed_runs and next_end. The tests of WorkerSession pass.

--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -46,14 +46,17 @@
   double cpu_received = 0;
   /// In use by runs of the most urgent priority.
   double urgent_cpu = 0;
-  double slowness = 1;        ///< Actual over estimated run times.
-  bool failing = false;       ///< Most of its runs fail or stall.
-  std::uint32_t entries = 1;  ///< Number of entries it is linked to.
+  double slowness = 1;           ///< Actual over estimated run times.
+  bool failing = false;          ///< Most of its runs fail or stall.
+  std::uint32_t entries = 1;     ///< Number of entries it is linked to.
+  std::uint32_t speed_runs = 0;  ///< Runs that `slowness` is based on.
+  /// Expected time until the first of its runs ends; 0 if a core is free.
+  Duration next_end;
 
   template <class A>
   void Fields(A& a) {
     a(accepting)(free)(queued_cpu)(cpu_received)(urgent_cpu)(slowness);
-    a(failing)(entries);
+    a(failing)(entries)(speed_runs)(next_end);
   }
 };
 
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -241,6 +241,8 @@
   WorkerCard Card() const;
   WorkerReport Report(const Peer& peer, TimePoint now) const;
   std::uint32_t CountEntries() const;
+  Duration ExpectedNextEnd(const Resources& free, TimePoint now) const;
+  Duration ExpectedRest(const Attempt& attempt, TimePoint now) const;
   bool HasCapacity(const Resources& size) const;
   /// False after a poll has shown a restart, until the worker's announcement.
   bool IsAnnouncementCurrent() const;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "worker/worker_session.h"
@@ -13,6 +14,11 @@
 /// A link is closed this long after its entry was told to send no more orders,
 /// well above the time an order takes in transit.
 constexpr Duration kReleaseGracePeriod{300};
+/// Fewer free cores than this count as none.
+constexpr double kFreeCore = 1;
+/// A run that should have ended is expected to end at any moment; 0 would say
+/// that a core is free.
+constexpr Duration kShortestRest{1};
 
 }  // namespace
 
@@ -246,7 +252,37 @@
   }
   report.slowness = run_statistics_.slowness();
   report.failing = run_statistics_.failing();
+  report.speed_runs =
+      static_cast<std::uint32_t>(run_statistics_.speed().runs());
+  report.next_end = ExpectedNextEnd(report.free, now);
   return report;
 }
 
+Duration WorkerSession::ExpectedNextEnd(const Resources& free,
+                                        TimePoint now) const {
+  if (free.cpu >= kFreeCore) return Duration(0);
+  std::optional<Duration> first;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state == State::kQueued) continue;
+    const Duration rest = ExpectedRest(attempt, now);
+    if (!first || rest < *first) first = rest;
+  }
+  return first.value_or(Duration(0));
+}
+
+// Extrapolated from the moment of the last progress, as polls may be 80 ms
+// apart. Progress lags at the start of a run, which makes the rest too long:
+// other runs end sooner, so the first end is hardly affected.
+Duration WorkerSession::ExpectedRest(const Attempt& attempt,
+                                     TimePoint now) const {
+  Duration whole(static_cast<std::int64_t>(
+      static_cast<double>(attempt.order.estimate.ms()) *
+      run_statistics_.slowness()));
+  if (attempt.percent > 0) {
+    whole =
+        (attempt.last_progress_at - attempt.started_at) * 100 / attempt.percent;
+  }
+  return std::max(kShortestRest, whole - (now - attempt.started_at));
+}
+
 }  // namespace geranium
