Return the route table again for data centre records that were listed early

A listing of several pages is given the offset of its first page, but a later page may hold the effect of a later record. An entry with a table of that offset from a peer or a copy ignores the listed one, and the tail then returned no table, as the record changed nothing: the evacuation or return to service did not come into force. A record of a data centre now always returns the table. The new test fails with the follower as it was, and passes.

--- a/src/data_centre/route_follower.cc
+++ b/src/data_centre/route_follower.cc
@@ -47,6 +47,10 @@
   retry_delay_ = Duration(0);
 }
 
+// A listing may contain effects of records after the offset that it is given.
+// When the tail reaches such a record, the table is returned again although it
+// is the same: an entry that has a table of the listing's offset from elsewhere
+// has ignored the listed one.
 bool RouteFollower::Apply(const OperatorRecord& record) {
   if (const auto* table = std::get_if<RouteTable>(&record.content)) {
     if (table->version < table_.version) return false;
@@ -58,9 +62,11 @@
   if (const auto* change = std::get_if<DataCentreChange>(&record.content)) {
     if (change->out) {
       listed_data_centres_out_.insert(change->name);
-      return data_centres_out_.insert(change->name).second;
+      data_centres_out_.insert(change->name);
+    } else {
+      data_centres_out_.erase(change->name);
     }
-    return data_centres_out_.erase(change->name) > 0;
+    return true;
   }
   const auto& ignored = std::get<IgnoredRecord>(record.content);
   if (!ignored.reason.empty()) {
--- a/src/data_centre/route_follower.h
+++ b/src/data_centre/route_follower.h
@@ -38,6 +38,8 @@
   std::optional<RouteTable> OnNewest(const Result<NewestRecordPage>& page);
   std::optional<RouteTable> OnTail(const Result<OperatorRecordBatch>& records);
   std::vector<LogMessage> TakeLogMessages();
+  /// The last call failed.
+  bool unreachable() const { return unreachable_; }
 
  private:
   void OnFailure(const Error& error);
--- a/tests/route_follower_test.cc
+++ b/tests/route_follower_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "entry/step_entry_node.h"
+
 namespace geranium {
 namespace {
 
@@ -120,5 +122,52 @@
   CHECK(follower_.NextRequest().from == LogOffset(6));
 }
 
+// Guards against a change that never comes into force at an entry that has a
+// table of the listing's offset from a peer or a copy, and so ignores the
+// listed one: a later page already held the effect of a later record.
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower returns the table again for a record whose "
+                 "effect was listed before its offset") {
+  const bool out = GENERATE(true, false);
+  NewestRecordPage first;
+  first.end = LogOffset(6);
+  first.last_key = "config";
+  first.has_more = true;
+  first.records = {RouteTableRecord(4, 9)};
+  (void)follower_.OnNewest(first);
+  std::vector<OperatorRecord> second;
+  if (out) second.push_back(DataCentreRecord(6, "gyor", true));
+  CHECK(follower_.OnNewest(MakePage(second, 7))->offset == LogOffset(6));
+  const auto table =
+      follower_.OnTail(MakeTail({DataCentreRecord(6, "gyor", out)}));
+  REQUIRE(table.has_value());
+  CHECK(table->offset == LogOffset(7));
+  CHECK(table->IsOutOfService(DataCentreName("gyor")) == out);
+}
+
+// Guards against a stale copy that outlives the outage of the log, and against
+// an evacuation that is skipped since it was recorded after the copy.
+TEST_CASE_METHOD(RouteFollowerTest,
+                 "RouteFollower replaces a table adopted from a copy") {
+  StepEntryNode node({});
+  RouteTable copy;
+  copy.version = 9;
+  copy.offset = LogOffset(6);
+  copy.data_centres_out.emplace_back("szeged");
+  node.OnRouteTable(copy, "copy", TimePoint());
+  (void)follower_.OnNewest(MakeOutage());
+  CHECK(follower_.NextRequest().kind == OperatorLogRequest::Kind::kNewest);
+  // Since the copy, szeged was put back in service and gyor taken out.
+  const auto table = follower_.OnNewest(
+      MakePage({RouteTableRecord(4, 9), DataCentreRecord(7, "gyor", true)}, 8));
+  REQUIRE(table.has_value());
+  node.OnRouteTable(*table, "operator", TimePoint());
+  CHECK(node.table().IsOutOfService(DataCentreName("gyor")));
+  CHECK_FALSE(node.table().IsOutOfService(DataCentreName("szeged")));
+  // A copy read late does not bring it back.
+  node.OnRouteTable(copy, "copy", TimePoint());
+  CHECK(node.table().offset == LogOffset(8));
+}
+
 }  // namespace
 }  // namespace geranium
