Store stand-in: partitions, appends and outages of one partition

Tests of copies of the route table need a store that takes appends to our own keyed topics within the platform's limits, and answers while the operator's partition is unavailable.

--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -292,6 +292,12 @@
     if (path == "/stand-in/put") {
       store_.Put(body.at("key"), body.at("value"));
     } else if (path == "/stand-in/store") {
+      if (body.contains("topic")) {
+        store_.SetPartitionAvailable(body.at("topic"), body.value("part", 0),
+                                     body.value("up", true));
+        exchange->Reply(JsonResponse(200, Json::object()));
+        return;
+      }
       store_.SetAvailable(body.value("up", true));
       store_.SetSilent(body.value("silent", false));
       if (body.value("forget", false)) store_.Compact();
--- a/standins/platform_store.cc
+++ b/standins/platform_store.cc
@@ -15,6 +15,10 @@
 
 /// A long poll checks for new records at this interval.
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
+// The platform's limits.
+constexpr int kMaxPartitions = 64;
+constexpr std::size_t kMaxRecordBytes = 262'144;
+constexpr std::size_t kMaxAppendBytes = 2U << 20U;
 
 std::string EncodeBigEndian(std::uint64_t value, int bytes) {
   std::string text;
@@ -49,40 +53,90 @@
   const HttpRequest& request = exchange->request();
   if (silent_) {
     unanswered_.push_back(exchange);
-  } else if (!available_) {
+    return;
+  }
+  const Partition* partition = Find(request);
+  if (!available_ || (partition != nullptr && !partition->available)) {
     exchange->Reply(JsonResponse(503, Json::object()));
-  } else if (request.path == "/-/log-newest") {
-    exchange->Reply(ReadNewest());
-  } else if (request.path == "/-/log-read") {
+  } else if (request.path == "/-/log-append" && request.method == "POST") {
+    exchange->Reply(Append(request));
+  } else if (partition != nullptr && request.path == "/-/log-newest") {
+    exchange->Reply(ReadNewest(*partition));
+  } else if (partition != nullptr && request.path == "/-/log-read") {
     const auto wait =
         std::chrono::milliseconds(std::stoll(request.Query("wait-ms", "0")));
-    Read(exchange, std::stoull(request.Query("from", "0")),
+    Read(exchange, *partition, std::stoull(request.Query("from", "0")),
          std::chrono::steady_clock::now() + wait);
   } else {
     exchange->Reply(JsonResponse(404, Json::object()));
   }
 }
 
-HttpResponse PlatformStore::ReadNewest() const {
+PlatformStore::Partition* PlatformStore::Find(const HttpRequest& request) {
+  (void)OperatorLog();
+  const auto found = partitions_.find(
+      {request.Query("topic", ""), std::stoi(request.Query("part", "0"))});
+  return found == partitions_.end() ? nullptr : &found->second;
+}
+
+// Only the operator appends to its log. A call is taken as a whole or not at
+// all.
+HttpResponse PlatformStore::Append(const HttpRequest& request) {
+  const std::string topic = request.Query("topic", "");
+  const int number = std::stoi(request.Query("part", "0"));
+  const std::string& body = request.body;
+  if (topic == "keyed.op") return JsonResponse(403, Json::object());
+  if (!topic.starts_with("keyed.") || number < 0 || number >= kMaxPartitions ||
+      body.empty()) {
+    return JsonResponse(400, Json::object());
+  }
+  if (body.size() > kMaxAppendBytes) return JsonResponse(413, Json::object());
+  std::deque<std::pair<std::string, std::string>> records;
+  for (std::size_t at = 0; at < body.size();) {
+    if (body.size() - at < 5) return JsonResponse(400, Json::object());
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < 4; ++i) {
+      length = length << 8U | static_cast<unsigned char>(body[at + i]);
+    }
+    at += 4;
+    const std::size_t key = static_cast<unsigned char>(body[at]);
+    if (length < 1 + key || body.size() - at < length) {
+      return JsonResponse(400, Json::object());
+    }
+    if (length > kMaxRecordBytes) return JsonResponse(413, Json::object());
+    records.emplace_back(body.substr(at + 1, key),
+                         body.substr(at + 1 + key, length - 1 - key));
+    at += length;
+  }
+  Partition& partition = partitions_[{topic, number}];
+  const std::size_t offset = partition.records.size();
+  for (auto& record : records) partition.records.push_back(std::move(record));
+  return JsonResponse(
+      200, {{"offset", offset}, {"end-offset", partition.records.size()}});
+}
+
+HttpResponse PlatformStore::ReadNewest(const Partition& partition) {
+  const auto& records = partition.records;
   std::map<std::string, std::size_t> newest;
-  for (std::size_t i = 0; i < records_.size(); ++i) {
-    newest[records_[i].first] = i;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    newest[records[i].first] = i;
   }
   Json items = Json::array();
   for (const auto& [key, offset] : newest) {
-    const std::string& value = records_[offset].second;
+    const std::string& value = records[offset].second;
     if (value.empty()) continue;
     items.push_back(
         {{"key", key}, {"value", EncodeBase64(value)}, {"offset", offset}});
   }
   return JsonResponse(
       200,
-      {{"items", items}, {"has-more", false}, {"end-offset", records_.size()}});
+      {{"items", items}, {"has-more", false}, {"end-offset", records.size()}});
 }
 
-void PlatformStore::Read(const ExchangePtr& exchange, std::size_t from,
+void PlatformStore::Read(const ExchangePtr& exchange,
+                         const Partition& partition, std::size_t from,
                          std::chrono::steady_clock::time_point until) {
-  if (!available_) {
+  if (!available_ || !partition.available) {
     exchange->Reply(JsonResponse(503, Json::object()));
     return;
   }
@@ -90,23 +144,25 @@
     unanswered_.push_back(exchange);
     return;
   }
-  if (from < oldest_readable_) {
-    exchange->Reply(JsonResponse(410, {{"first", oldest_readable_}}));
+  const auto& records = partition.records;
+  if (from < partition.oldest_readable) {
+    exchange->Reply(JsonResponse(410, {{"first", partition.oldest_readable}}));
     return;
   }
-  if (records_.size() <= from && std::chrono::steady_clock::now() < until) {
+  if (records.size() <= from && std::chrono::steady_clock::now() < until) {
     auto timer = std::make_shared<Timer>(io_, kPollInterval);
-    timer->async_wait([this, timer, exchange, from, until](const auto& error) {
-      if (!error) Read(exchange, from, until);
-    });
+    timer->async_wait(
+        [this, timer, exchange, &partition, from, until](const auto& error) {
+          if (!error) Read(exchange, partition, from, until);
+        });
     return;
   }
   HttpResponse response;
   response.content_type = "application/octet-stream";
-  response.body = EncodeBigEndian(records_.size(), 8) +
-                  EncodeBigEndian(oldest_readable_, 8);
-  for (std::size_t i = from; i < records_.size(); ++i) {
-    const auto& [key, value] = records_[i];
+  response.body = EncodeBigEndian(records.size(), 8) +
+                  EncodeBigEndian(partition.oldest_readable, 8);
+  for (std::size_t i = from; i < records.size(); ++i) {
+    const auto& [key, value] = records[i];
     const std::string content = static_cast<char>(key.size()) + key + value;
     response.body += EncodeBigEndian(content.size(), 4) + content;
   }
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -13,7 +14,8 @@
 
 namespace geranium::standins {
 
-/// Stand-in for the operator's log: one partition of keyed records.
+/// Stand-in for the platform's store: partitions of keyed records. Partition 0
+/// of `keyed.op` is the operator's log; others are created by appends.
 class PlatformStore {
  public:
   using ExchangePtr = std::shared_ptr<HttpExchange>;
@@ -21,23 +23,39 @@
   explicit PlatformStore(boost::asio::io_context& io) : io_(io) {}
 
   void Put(const std::string& key, const std::string& value) {
-    records_.emplace_back(key, value);
+    OperatorLog().records.emplace_back(key, value);
   }
   void SetAvailable(bool available) { available_ = available; }
+  /// Makes one partition unavailable, or available again.
+  void SetPartitionAvailable(const std::string& topic, int partition,
+                             bool available) {
+    partitions_[{topic, partition}].available = available;
+  }
   /// While set, requests get no answer.
   void SetSilent(bool silent) { silent_ = silent; }
-  /// Keeps only the newest record of each key.
-  void Compact() { oldest_readable_ = records_.size(); }
+  /// Keeps only the newest record of each key of the operator's log.
+  void Compact() {
+    OperatorLog().oldest_readable = OperatorLog().records.size();
+  }
   void Serve(const ExchangePtr& exchange);
 
  private:
-  HttpResponse ReadNewest() const;
-  void Read(const ExchangePtr& exchange, std::size_t from,
-            std::chrono::steady_clock::time_point until);
+  struct Partition {
+    std::deque<std::pair<std::string, std::string>> records;
+    std::size_t oldest_readable = 0;  ///< Lowest offset that can be read.
+    bool available = true;
+  };
+
+  Partition& OperatorLog() { return partitions_[{"keyed.op", 0}]; }
+  Partition* Find(const HttpRequest& request);
+  HttpResponse Append(const HttpRequest& request);
+  static HttpResponse ReadNewest(const Partition& partition);
+  void Read(const ExchangePtr& exchange, const Partition& partition,
+            std::size_t from, std::chrono::steady_clock::time_point until);
 
   boost::asio::io_context& io_;
-  std::deque<std::pair<std::string, std::string>> records_;
-  std::size_t oldest_readable_ = 0;  ///< Lowest offset that can be read.
+  /// By topic and number; none is ever removed.
+  std::map<std::pair<std::string, int>, Partition> partitions_;
   bool available_ = true;
   bool silent_ = false;
   /// Kept so that their connections stay open.
