Keep copies of the route table on the store

Entries that all start while the operator's log is unavailable refuse everything until it is back. With entry.route_table_copies the entry with the lowest incarnation writes a changed table to that many partitions of keyed.routes, and an entry without a table whose reads of the log fail reads them (docs/design/route-table-copies.md).

--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -119,6 +119,11 @@
     return table_.Find(host, path);
   }
   bool has_table() const { return table_.version > 0; }
+  /// Of itself and the entries linked to it.
+  bool HasLowestIncarnation() const {
+    return entry_links_.empty() ||
+           options_.incarnation < entry_links_.begin()->first;
+  }
 
  private:
   struct Peer {
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -43,6 +43,11 @@
                  [this] { ScheduleActions(); }},
              settings_.node.incarnation.value(), kMaxPlatformDialDelay),
       http_(loop_.traffic()),
+      copies_(settings_.route_table_copies, settings_.store_address, loop_,
+              http_, node_, follower_,
+              StepRouteTableCopies::Handlers{
+                  [this](const LogMessage& message) { Perform(message); },
+                  [this] { PerformActions(); }}),
       caller_server_(
           loop_.traffic(),
           [this](const ExchangePtr& exchange) { OnRequest(exchange); },
@@ -243,6 +248,7 @@
                        "operator_log_reply_failed",
                        {{"message", error.what()}}});
   }
+  copies_.StartCalls(clock_.Now());
   PerformActions();
   PollOperatorLog();
 }
@@ -257,7 +263,9 @@
                 platform::ReadTail(address, request.from, outcome));
   for (const LogMessage& message : follower_.TakeLogMessages())
     Perform(message);
-  if (table) node_.OnRouteTable(*table, address, clock_.Now());
+  if (!table) return;
+  node_.OnRouteTable(*table, address, clock_.Now());
+  copies_.OnOperatorTable(*table, clock_.Now());
 }
 
 MetricFamilies StepEntryServer::CollectMetrics() {
@@ -265,6 +273,9 @@
   for (auto& family : answer_times_.Collect()) {
     families.push_back(std::move(family));
   }
+  for (auto& family : RouteTableCopyMetrics(copies_.counters())) {
+    families.push_back(std::move(family));
+  }
   return families;
 }
 
@@ -273,6 +284,7 @@
 Duration StepEntryServer::OnTick() {
   const TimePoint now = clock_.Now();
   node_.OnTick(now);
+  copies_.StartCalls(now);
   PerformActions();
   AddEntries(settings_reloader_.ReloadIfDue(now));
   if (leaving_since_) StopIfDone(now);
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -17,6 +17,7 @@
 #include "runtime/rate_limited_log.h"
 #include "runtime/step_metrics.h"
 #include "runtime/step_process.h"
+#include "runtime/step_route_table_copies.h"
 #include "settings/step_settings.h"
 
 namespace geranium {
@@ -71,6 +72,7 @@
   RateLimitedLog log_;
   PeerLinks links_;
   HttpClient http_;
+  StepRouteTableCopies copies_;
   HttpServer caller_server_;
   HttpServer ready_server_;
   MetricsEndpoint metrics_;
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -47,6 +47,21 @@
   return builder.Take();
 }
 
+MetricFamilies RouteTableCopyMetrics(const RouteTableCopyCounters& counts) {
+  MetricFamilyBuilder builder;
+  builder.Counter("geranium_route_table_copies_written_total",
+                  "Copies of the route table written to the store",
+                  Count(counts.written));
+  builder.Counter("geranium_route_table_copies_adopted_total",
+                  "Copies of the route table adopted", Count(counts.adopted));
+  const std::string failed = "geranium_route_table_copies_failed_total";
+  const std::string help = "Copies of the route table not written or not read";
+  builder.Counter(failed, help, Count(counts.failed_writes),
+                  {{"call", "write"}});
+  builder.Counter(failed, help, Count(counts.failed_reads), {{"call", "read"}});
+  return builder.Take();
+}
+
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
                                 const PeerLinks& links, TimePoint now) {
   MetricFamilyBuilder builder;
--- a/src/runtime/step_metrics.h
+++ b/src/runtime/step_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "data_centre/route_table_copies.h"
 #include "entry/step_entry_node.h"
 #include "runtime/metrics.h"
 #include "runtime/peer_links.h"
@@ -18,6 +19,7 @@
 /// Counters and gauges of a process as metric families (docs/METRICS.md).
 MetricFamilies StepEntryMetrics(const StepEntryNode& node,
                                 const PeerLinks& links, TimePoint now);
+MetricFamilies RouteTableCopyMetrics(const RouteTableCopyCounters& counts);
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
                                 const PeerLinks& links, TimePoint now);
 
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -60,6 +60,8 @@
   settings.metrics_address = ReadAddress(entry, "metrics_address");
   settings.grace = Duration(
       entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
+  settings.route_table_copies =
+      static_cast<int>(entry.Integer("route_table_copies", 0, 0, 4));
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
--- a/src/settings/step_settings.h
+++ b/src/settings/step_settings.h
@@ -23,6 +23,7 @@
   std::string ready_address;
   std::string metrics_address;
   std::string store_address;
+  int route_table_copies = 0;  ///< On the store.
   std::vector<std::string> entry_addresses;
   Duration grace{6000};  ///< Between SIGTERM and SIGKILL.
 };
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -232,5 +232,49 @@
   CHECK(site.processes().AwaitExit("entry-0") == 0);
 }
 
+std::int64_t CountCopies(const StepSite& site, const std::string& what) {
+  std::int64_t count = 0;
+  const std::string name = "\ngeranium_route_table_copies_" + what + "_total ";
+  for (int i = 0; i < site.options().entries; ++i) {
+    const std::string metrics =
+        site.Send(site.EntryMetricsAddress(i), "GET", "/metrics", "").body;
+    const auto at = metrics.find(name);
+    REQUIRE(at != std::string::npos);
+    count += std::stoll(metrics.substr(at + name.size()));
+  }
+  return count;
+}
+
+// Guards against a site that refuses everything because all entries start while
+// the operator's log is unavailable.
+TEST_CASE(
+    "Platform entries all restarted without the operator's log: they serve "
+    "with a copy of the route table and follow the log afterwards") {
+  StepSite site({30'600, 3, 2, false, 2});
+  REQUIRE(Eventually([&] { return site.Publish(StepSite::Manifest(3)); }));
+  REQUIRE(Eventually([&] { return site.IsReady(); }));
+  REQUIRE(Eventually([&] { return CountCopies(site, "written") >= 2; }));
+  // One of the two copies is unavailable as well.
+  for (const auto& [topic, part] :
+       {std::pair("keyed.op", 0), std::pair("keyed.routes", 1)}) {
+    site.Control("store", {{"topic", topic}, {"part", part}, {"up", false}});
+  }
+  for (int i = 0; i < 3; ++i) {
+    site.processes().Signal(StepSite::EntryName(i), SIGKILL);
+    site.processes().AwaitExit(StepSite::EntryName(i));
+  }
+  for (int i = 0; i < 3; ++i) site.StartEntry(i);
+  REQUIRE(Eventually([&] { return site.IsReady(); }));
+  CHECK(site.Submit(0, "0000000000000ab1", 50).status == 200);
+  CHECK(site.Submit(2, "0000000000000ab2", 50).status == 200);
+  CHECK(CountCopies(site, "adopted") >= 1);
+  CHECK(site.Publish(StepSite::Manifest(4, "/other/")));
+  CHECK(site.Submit(1, "0000000000000ab3", 50).status == 200);
+  site.Control("store", {{"topic", "keyed.op"}, {"up", true}});
+  CHECK(Eventually(
+      [&] { return site.Submit(1, "0000000000000ab4", 50).status == 404; },
+      Duration(2000)));
+}
+
 }  // namespace
 }  // namespace geranium::process
--- a/tests/process/step_site.cc
+++ b/tests/process/step_site.cc
@@ -74,17 +74,29 @@
 }
 
 void StepSite::StartEntry(int entry) {
-  processes_.Spawn(
-      EntryName(entry),
-      {Program("geranium-entry"), "--set", "entry.id=" + EntryName(entry),
-       "--set", "entry.data_centre=north", "--set",
-       "entry.link_address=" + ProxiedAddress(LinkAddress(entry)), "--set",
-       "entry.link_listen_address=" + LinkAddress(entry), "--set",
-       "entry.caller_address=" + CallerAddress(entry), "--set",
-       "entry.ready_address=" + ReadyAddress(entry), "--set",
-       "entry.metrics_address=" + EntryMetricsAddress(entry), "--set",
-       "peers.entries=" + Seeds(), "--set",
-       "platform.store_address=" + StoreAddressFor(entry)});
+  processes_.Spawn(EntryName(entry),
+                   {Program("geranium-entry"),
+                    "--set",
+                    "entry.id=" + EntryName(entry),
+                    "--set",
+                    "entry.data_centre=north",
+                    "--set",
+                    "entry.link_address=" + ProxiedAddress(LinkAddress(entry)),
+                    "--set",
+                    "entry.link_listen_address=" + LinkAddress(entry),
+                    "--set",
+                    "entry.caller_address=" + CallerAddress(entry),
+                    "--set",
+                    "entry.ready_address=" + ReadyAddress(entry),
+                    "--set",
+                    "entry.metrics_address=" + EntryMetricsAddress(entry),
+                    "--set",
+                    "entry.route_table_copies=" +
+                        std::to_string(options_.route_table_copies),
+                    "--set",
+                    "peers.entries=" + Seeds(),
+                    "--set",
+                    "platform.store_address=" + StoreAddressFor(entry)});
 }
 
 void StepSite::StartAgent(int worker) {
--- a/tests/process/step_site.h
+++ b/tests/process/step_site.h
@@ -15,6 +15,7 @@
   int workers = 3;
   /// Processes reach each other through a proxy, at other ports.
   bool is_proxied = false;
+  int route_table_copies = 0;
 };
 
 /// Entries and agents as real processes on loopback, with a stand-in for the
