Place tasks by expected end and by the wait for a place near their data

Change: Placement uses PlacementCost with the workers' relative run times (entry.speed_placement) and LocalityWait instead of the fixed reserve (entry.locality_wait_percent). A deployment counts as uneven from a ratio of 1.7 of the quantiles: the spread of medians of 15 runs alone puts them 1.4 apart.

--- a/src/entry/admission.cc
+++ b/src/entry/admission.cc
@@ -24,6 +24,7 @@
           static_cast<double>(critical_path.ms()) * route.slack_factor)) +
       route.target_latency;
   JobDeadlines deadlines;
+  deadlines.objective = now + objective;
   deadlines.answer_deadline = now + caller_timeout;
   deadlines.latest_start =
       now + (objective - critical_path) * options_.wait_percent / 100;
--- a/src/entry/admission.h
+++ b/src/entry/admission.h
@@ -23,6 +23,7 @@
 };
 
 struct JobDeadlines {
+  TimePoint objective;        ///< The answer is late after that.
   TimePoint latest_start;     ///< The job is late if not started by then.
   TimePoint start_deadline;   ///< Refused if not started by then.
   TimePoint answer_deadline;  ///< The caller stops waiting then.
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -2,15 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
+
+#include "entry/placement_cost.h"
 
 namespace geranium {
 namespace {
 
-/// Weight of a worker's load against the run time there: of equally fast
-/// workers the least loaded is chosen.
-constexpr double kLoadWeight = 0.3;
-/// Added cost of a worker in another data centre: traffic there costs more.
-constexpr double kCrossDataCentreCost = 0.05;
 constexpr double kEpsilon = 1e-6;
 
 }  // namespace
@@ -80,50 +78,115 @@
   return left >= options_.local_reserve * worker.card->capacity.cpu;
 }
 
+bool Placement::IsInDataRack(const KnownWorker& worker,
+                             const PlacementRequest& request,
+                             TimePoint now) const {
+  return workers_.TakesOrders(worker, now) && !workers_.IsOnProbation(worker) &&
+         worker.card->service == request.job->route.service &&
+         worker.IsLocalTo(request.spec()) && !IsOutOfService(worker);
+}
+
 // True if a worker in the data's rack takes orders, even if it is full now.
 bool Placement::HasLocalWorker(const PlacementRequest& request,
                                TimePoint now) const {
-  return std::any_of(
-      workers_.workers().begin(), workers_.workers().end(),
-      [&](const auto& item) {
-        const KnownWorker& worker = item.second;
-        return workers_.TakesOrders(worker, now) &&
-               !workers_.IsOnProbation(worker) &&
-               worker.card->service == request.job->route.service &&
-               worker.IsLocalTo(request.spec()) && !IsOutOfService(worker);
-      });
+  return std::any_of(workers_.workers().begin(), workers_.workers().end(),
+                     [&](const auto& item) {
+                       return IsInDataRack(item.second, request, now);
+                     });
+}
+
+void Placement::Update(TimePoint now) {
+  if (!options_.by_speed) return;
+  std::vector<WorkerReport> reports;
+  for (const auto& [agent, worker] : workers_.workers()) {
+    if (workers_.TakesOrders(worker, now)) reports.push_back(worker.report);
+  }
+  run_times_.Update(reports);
+}
+
+Duration Placement::MedianRunTime(const StepSpec& step) const {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(step.estimate.ms()) * run_times_.median()));
+}
+
+double Placement::RelativeRunTime(const KnownWorker& worker) const {
+  return run_times_.RelativeRunTime(worker.report.slowness,
+                                    worker.report.speed_runs);
 }
 
 double Placement::Cost(const KnownWorker& worker,
-                       const PlacementRequest& request) const {
+                       const PlacementRequest& request, TimePoint now) const {
   const WorkerCard& card = *worker.card;
-  const double time =
-      worker.IsLocalTo(request.spec()) ? 1 : options_.cross_rack_factor;
-  const double used =
+  const StepSpec& step = request.spec();
+  PlacementCostInputs inputs;
+  inputs.estimate = MedianRunTime(step);
+  inputs.relative_run_time = RelativeRunTime(worker);
+  inputs.range = run_times_.range();
+  inputs.locality_factor =
+      worker.IsLocalTo(step) ? 1 : options_.cross_rack_factor;
+  inputs.used =
       1 - worker.FreeCpu(request.priority()) / std::max(card.capacity.cpu, 1.0);
-  double cost = time * (1 + kLoadWeight * used);
-  if (card.data_centre != options_.data_centre) cost += kCrossDataCentreCost;
-  if (request.state().avoid_worker == card.id) cost += 1;
-  return cost;
+  inputs.time_left = request.job->deadlines.objective - now;
+  inputs.other_data_centre = card.data_centre != options_.data_centre;
+  inputs.avoid = request.state().avoid_worker == card.id;
+  return PlacementCost(inputs);
+}
+
+// A task asks for a place near its data from its job's submission on; where
+// earlier steps delayed it, the wait is cut short rather than repeated.
+bool Placement::IsWaitingWorthwhile(const KnownWorker& elsewhere,
+                                    const PlacementRequest& request,
+                                    TimePoint now) const {
+  const StepSpec& step = request.spec();
+  std::vector<RackWorker> rack;
+  for (const auto& [agent, worker] : workers_.workers()) {
+    if (!IsInDataRack(worker, request, now)) continue;
+    rack.push_back({worker.report.next_end, now - worker.reported_at,
+                    worker.card->capacity.cpu, worker.report.entries});
+  }
+  RackQueue queue;
+  queue.mean_estimate = MedianRunTime(step);
+  queue.task_cores = step.size.cpu;
+  LocalityWaitInputs inputs;
+  inputs.estimate = queue.mean_estimate;
+  inputs.cross_rack_factor = options_.cross_rack_factor;
+  inputs.relative_run_time = RelativeRunTime(elsewhere);
+  inputs.expected_wait = ExpectedLocalWait(rack, queue);
+  inputs.waited = now - request.job->submitted;
+  inputs.time_left =
+      request.job->deadlines.objective - now - queue.mean_estimate;
+  inputs.others_wait = tasks_waiting_;
+  return locality_wait_.WaitUntil(inputs, now).has_value();
 }
 
 KnownWorker* Placement::Choose(const PlacementRequest& request, TimePoint now) {
-  const bool has_local_worker =
-      !request.spec().data_rack.empty() && HasLocalWorker(request, now);
+  const bool has_data = !request.spec().data_rack.empty();
+  const bool has_local_worker = has_data && HasLocalWorker(request, now);
   KnownWorker* best = nullptr;
   double best_cost = 0;
   for (auto& [agent, worker] : workers_.workers()) {
     if (!IsEligible(worker, request, now)) continue;
-    if (has_local_worker && !worker.IsLocalTo(request.spec()) &&
-        !MayPlaceRemote(worker, request)) {
+    if (has_local_worker && !locality_wait_.is_used() &&
+        !worker.IsLocalTo(request.spec()) && !MayPlaceRemote(worker, request)) {
       continue;
     }
-    const double cost = Cost(worker, request);
+    const double cost = Cost(worker, request, now);
     if (best == nullptr || cost < best_cost) {
       best = &worker;
       best_cost = cost;
     }
   }
+  if (best == nullptr || !has_data) return best;
+  if (best->IsLocalTo(request.spec())) {
+    ++counters_.local;
+    return best;
+  }
+  if (has_local_worker && locality_wait_.is_used() &&
+      IsWaitingWorthwhile(*best, request, now)) {
+    ++counters_.locality_waits;
+    return nullptr;
+  }
+  ++counters_.remote;
   return best;
 }
 
--- a/src/entry/placement.h
+++ b/src/entry/placement.h
@@ -7,8 +7,10 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "contract/route_table.h"
+#include "entry/locality_wait.h"
 #include "entry/open_step_job.h"
 #include "entry/route_isolation.h"
+#include "entry/run_time_model.h"
 #include "entry/worker_ledger.h"
 
 namespace geranium {
@@ -24,6 +26,11 @@
   /// Fraction of a worker's cores that must stay free, for tasks with data in
   /// its rack, when a task with data in another rack is placed there.
   double local_reserve = 0.2;
+  /// Weighs the expected end of a task at workers of uneven speed; see
+  /// PlacementCost.
+  bool by_speed = false;
+  /// Replaces `local_reserve` by LocalityWait, unless 0.
+  LocalityWaitOptions locality_wait;
 };
 
 /// The task for which a worker is sought.
@@ -38,6 +45,12 @@
   int priority() const { return job->route.priority; }
 };
 
+struct PlacementCounters {
+  std::uint64_t local = 0;   ///< Tasks with data in a rack placed there ...
+  std::uint64_t remote = 0;  ///< ... or elsewhere.
+  std::uint64_t locality_waits = 0;  ///< Times that a task was left waiting.
+};
+
 /// Chooses the worker for a task by free capacity, rack and speed.
 class Placement {
  public:
@@ -45,13 +58,22 @@
             const RouteIsolation& isolation)
       : options_(std::move(options)),
         workers_(workers),
-        isolation_(isolation) {}
+        isolation_(isolation),
+        locality_wait_(options_.locality_wait) {}
 
   void SetRouteTable(const RouteTable* table) { table_ = table; }
   /// Fraction of each worker's cores that is kept free for urgent tasks.
   void SetUrgentReserve(double fraction) { urgent_reserve_ = fraction; }
 
-  /// Null if no worker has room for the task now.
+  /// Whether tasks wait at this entry, so that cores are scarce.
+  void SetTasksWaiting(bool waiting) { tasks_waiting_ = waiting; }
+  /// Updates what is known of the workers' speeds.
+  void Update(TimePoint now);
+  bool is_uneven() const { return run_times_.is_uneven(); }
+  const PlacementCounters& counters() const { return counters_; }
+
+  /// Null if no worker has room for the task now, or if waiting for one near
+  /// its data pays.
   KnownWorker* Choose(const PlacementRequest& request, TimePoint now);
   /// True if a worker, in whatever rack, has room for the task now.
   bool HasRoom(const PlacementRequest& request, TimePoint now) const;
@@ -61,13 +83,21 @@
  private:
   bool IsEligible(const KnownWorker& worker, const PlacementRequest& request,
                   TimePoint now) const;
+  bool IsInDataRack(const KnownWorker& worker, const PlacementRequest& request,
+                    TimePoint now) const;
   bool HasLocalWorker(const PlacementRequest& request, TimePoint now) const;
+  bool IsWaitingWorthwhile(const KnownWorker& elsewhere,
+                           const PlacementRequest& request,
+                           TimePoint now) const;
   bool MayPlaceRemote(const KnownWorker& worker,
                       const PlacementRequest& request) const;
   double ReservedCpu(const KnownWorker& worker, int priority) const;
   double UrgentAheadCpu(const KnownWorker& worker, double task_cpu,
                         int priority) const;
-  double Cost(const KnownWorker& worker, const PlacementRequest& request) const;
+  Duration MedianRunTime(const StepSpec& step) const;
+  double RelativeRunTime(const KnownWorker& worker) const;
+  double Cost(const KnownWorker& worker, const PlacementRequest& request,
+              TimePoint now) const;
   bool IsOutOfService(const KnownWorker& worker) const;
   static std::uint32_t CountTasksOn(const KnownWorker& worker,
                                     const PlacementRequest& request);
@@ -76,7 +106,11 @@
   WorkerLedger& workers_;
   const RouteIsolation& isolation_;
   const RouteTable* table_ = nullptr;
+  LocalityWait locality_wait_;
+  RunTimeModel run_times_;
   double urgent_reserve_ = 0;
+  bool tasks_waiting_ = false;
+  PlacementCounters counters_;
 };
 
 }  // namespace geranium
--- a/src/entry/run_time_model.h
+++ b/src/entry/run_time_model.h
@@ -33,7 +33,9 @@
   /// Workers with `kKnownRuns` needed to tell whether they differ.
   static constexpr std::size_t kMinWorkers = 4;
   /// A deployment is uneven from this ratio of the 90 % to the 10 % quantile.
-  static constexpr double kUnevenRatio = 1.5;
+  /// The spread of medians of 15 runs puts the quantiles of equal workers 1.4
+  /// apart.
+  static constexpr double kUnevenRatio = 1.7;
   static constexpr double kMinRelative = 0.25;
   static constexpr double kMaxRelative = 4;
 
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -72,6 +72,8 @@
       kMaxStandstill + kPeerHeartbeatInterval;
 
   explicit StepEntryNode(StepEntryOptions options);
+  StepEntryNode(const StepEntryNode&) = delete;
+  StepEntryNode& operator=(const StepEntryNode&) = delete;
 
   /// Connects to the entries listed in the settings at start.
   void AddConfiguredEntries(const std::vector<std::string>& addresses);
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -253,6 +253,7 @@
 
 void StepScheduler::OnTick(TimePoint now) {
   workers_.Update();
+  placement_.Update(now);
   capacity_share_ = workers_.CapacityShare(isolation_.agents(), now);
   placement_.SetUrgentReserve(urgent_reserve_.Fraction(capacity_share_, now));
   ExpireSilentWorkers(now);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -64,6 +64,9 @@
   static constexpr Duration kWorkerLostTimeout{1500};
 
   explicit StepScheduler(StepSchedulerOptions options);
+  // Its parts refer to each other.
+  StepScheduler(const StepScheduler&) = delete;
+  StepScheduler& operator=(const StepScheduler&) = delete;
 
   // Callers.
 
@@ -146,6 +149,10 @@
     return workers_.CountAccepting(now);
   }
   const StepCounters& counters() const { return counters_; }
+  const PlacementCounters& placement_counters() const {
+    return placement_.counters();
+  }
+  bool has_uneven_workers() const { return placement_.is_uneven(); }
 
  private:
   /// Orders of one job sent in one pass, for its log line.
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -21,6 +21,7 @@
 
 void StepScheduler::PlaceWaitingTasks(TimePoint now) {
   UnplacedSizes unplaced;
+  placement_.SetTasksWaiting(left_waiting_);
   for (const JobNumber number : queue_.Jobs()) {
     OpenStepJob& job = jobs_.at(number);
     if (job.held) continue;
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -23,6 +23,20 @@
   builder.Counter("geranium_step_refused_late_total",
                   "Late jobs refused before their start deadline",
                   Count(counts.refused_late));
+  const PlacementCounters& placed = node.scheduler().placement_counters();
+  const std::string near_data = "geranium_step_data_rack_total";
+  const std::string near_data_help =
+      "Tasks with data in a rack by where they were placed, and times that one "
+      "was left waiting for its rack";
+  builder.Counter(near_data, near_data_help, Count(placed.local),
+                  {{"place", "local"}});
+  builder.Counter(near_data, near_data_help, Count(placed.remote),
+                  {{"place", "elsewhere"}});
+  builder.Counter(near_data, near_data_help, Count(placed.locality_waits),
+                  {{"place", "waiting"}});
+  builder.Gauge("geranium_step_workers_uneven",
+                "1 if the workers' speeds differ enough to place by them",
+                node.scheduler().has_uneven_workers() ? 1 : 0);
   builder.Counter("geranium_step_cancelled_total",
                   "Step jobs cancelled by DELETE or by a caller's disconnect",
                   Count(counts.cancelled));
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -67,6 +67,10 @@
           entry.Integer("cross_rack_percent", 150, 100, 10'000)) /
       kPercent;
   node.scheduler.queue_order = ReadQueueOrder(entry);
+  node.scheduler.placement.by_speed =
+      entry.Flag("speed_placement", node.scheduler.placement.by_speed);
+  node.scheduler.placement.locality_wait.wait_percent =
+      static_cast<int>(entry.Integer("locality_wait_percent", 0, 0, 1000));
   node.scheduler.refuse_late =
       entry.Flag("refuse_late", node.scheduler.refuse_late);
   settings.caller_address = ReadAddress(entry, "caller_address");
--- a/tests/step_entry_queries_test.cc
+++ b/tests/step_entry_queries_test.cc
@@ -1,3 +1,5 @@
+#include <memory>
+
 #include "step_entry_node_fixture.h"
 
 namespace geranium {
@@ -272,7 +274,8 @@
 TEST_CASE_METHOD(JustStartedEntryTest,
                  "StepEntryNode without a route table refuses jobs that it "
                  "knows nothing of as not run") {
-  node_ = StepEntryNode(Options(Incarnation(1)));
+  std::destroy_at(&node_);
+  std::construct_at(&node_, Options(Incarnation(1)));
   Submit(1);
   CHECK(AnswerTo(1) == StepAnswer::kRefused);
 }
