--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -72,6 +72,8 @@
       kMaxStandstill + kPeerHeartbeatInterval;
 
   explicit StepEntryNode(StepEntryOptions options);
+  StepEntryNode(const StepEntryNode&) = delete;
+  StepEntryNode& operator=(const StepEntryNode&) = delete;
 
   /// Connects to the entries listed in the settings at start.
   void AddConfiguredEntries(const std::vector<std::string>& addresses);
@@ -119,6 +121,11 @@
     return table_.Find(host, path);
   }
   bool has_table() const { return table_.version > 0; }
+  /// Of itself and the entries linked to it.
+  bool HasLowestIncarnation() const {
+    return entry_links_.empty() ||
+           options_.incarnation < entry_links_.begin()->first;
+  }
 
  private:
   struct Peer {
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -20,6 +20,23 @@
                   {{"answer", "refused"}});
   builder.Counter(answers, help, Count(counts.abandoned),
                   {{"answer", "abandoned"}});
+  builder.Counter("geranium_step_refused_late_total",
+                  "Late jobs refused before their start deadline",
+                  Count(counts.refused_late));
+  const PlacementCounters& placed = node.scheduler().placement_counters();
+  const std::string near_data = "geranium_step_data_rack_total";
+  const std::string near_data_help =
+      "Tasks with data in a rack by where they were placed, and times that one "
+      "was left waiting for its rack";
+  builder.Counter(near_data, near_data_help, Count(placed.local),
+                  {{"place", "local"}});
+  builder.Counter(near_data, near_data_help, Count(placed.remote),
+                  {{"place", "elsewhere"}});
+  builder.Counter(near_data, near_data_help, Count(placed.locality_waits),
+                  {{"place", "waiting"}});
+  builder.Gauge("geranium_step_workers_uneven",
+                "1 if the workers' speeds differ enough to place by them",
+                node.scheduler().has_uneven_workers() ? 1 : 0);
   builder.Counter("geranium_step_cancelled_total",
                   "Step jobs cancelled by DELETE or by a caller's disconnect",
                   Count(counts.cancelled));
@@ -47,6 +64,21 @@
   return builder.Take();
 }
 
+MetricFamilies RouteTableCopyMetrics(const RouteTableCopyCounters& counts) {
+  MetricFamilyBuilder builder;
+  builder.Counter("geranium_route_table_copies_written_total",
+                  "Copies of the route table written to the store",
+                  Count(counts.written));
+  builder.Counter("geranium_route_table_copies_adopted_total",
+                  "Copies of the route table adopted", Count(counts.adopted));
+  const std::string failed = "geranium_route_table_copies_failed_total";
+  const std::string help = "Copies of the route table not written or not read";
+  builder.Counter(failed, help, Count(counts.failed_writes),
+                  {{"call", "write"}});
+  builder.Counter(failed, help, Count(counts.failed_reads), {{"call", "read"}});
+  return builder.Take();
+}
+
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
                                 const PeerLinks& links, TimePoint now) {
   MetricFamilyBuilder builder;
@@ -73,6 +105,12 @@
                   Count(counts.moved));
   builder.Counter("geranium_session_crashes_total", "Crashes of the worker",
                   Count(counts.crashes));
+  builder.Counter("geranium_session_holds_total",
+                  "Ended runs whose cores were reported to their entry only",
+                  Count(counts.holds));
+  builder.Counter("geranium_session_holds_expired_total",
+                  "Holds that their entry did not claim in time",
+                  Count(counts.holds_expired));
   builder.Gauge("geranium_session_cores_running",
                 "CPU cores of tasks that run or may run", session.in_use().cpu);
   builder.Gauge("geranium_session_fresh",
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -32,6 +32,16 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
+QueueOrder ReadQueueOrder(IniSection& section) {
+  const std::string name = section.Text("queue_order", "priority");
+  if (name == "latest_start") return QueueOrder::kLatestStart;
+  if (name != "priority") {
+    section.AddError("queue_order",
+                     "is '" + name + "'; expected priority or latest_start");
+  }
+  return QueueOrder::kPriority;
+}
+
 }  // namespace
 
 bool HasPlatformSection(const IniFile& file) {
@@ -50,16 +60,26 @@
   node.link_address = ReadAddress(entry, "link_address");
   settings.link_listen_address =
       ReadAddress(entry, "link_listen_address", node.link_address);
-  node.scheduler.data_centre = DataCentreName(entry.Required("data_centre"));
-  node.scheduler.cross_rack_factor =
+  node.scheduler.placement.data_centre =
+      DataCentreName(entry.Required("data_centre"));
+  node.scheduler.placement.cross_rack_factor =
       static_cast<double>(
           entry.Integer("cross_rack_percent", 150, 100, 10'000)) /
       kPercent;
+  node.scheduler.queue_order = ReadQueueOrder(entry);
+  node.scheduler.placement.by_speed =
+      entry.Flag("speed_placement", node.scheduler.placement.by_speed);
+  node.scheduler.placement.locality_wait.wait_percent =
+      static_cast<int>(entry.Integer("locality_wait_percent", 0, 0, 1000));
+  node.scheduler.refuse_late =
+      entry.Flag("refuse_late", node.scheduler.refuse_late);
   settings.caller_address = ReadAddress(entry, "caller_address");
   settings.ready_address = ReadAddress(entry, "ready_address");
   settings.metrics_address = ReadAddress(entry, "metrics_address");
   settings.grace = Duration(
       entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
+  settings.route_table_copies =
+      static_cast<int>(entry.Integer("route_table_copies", 0, 0, 4));
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
@@ -82,6 +102,7 @@
   node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
   node.entry_links = static_cast<std::size_t>(agent.Integer(
       "entry_links", static_cast<std::int64_t>(node.entry_links), 1, 1000));
+  node.capacity_hold = Duration(agent.Integer("capacity_hold_ms", 0, 0, 1000));
   settings.grace = Duration(
       agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
   BOOST_OUTCOME_TRYV(agent.Finish());
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "worker/worker_session.h"
@@ -13,6 +14,13 @@
 /// A link is closed this long after its entry was told to send no more orders,
 /// well above the time an order takes in transit.
 constexpr Duration kReleaseGracePeriod{300};
+/// Tolerance for rounding in sums of CPU shares.
+constexpr double kCpuEpsilon = 1e-6;
+/// Fewer free cores than this count as none.
+constexpr double kFreeCore = 1;
+/// A run that should have ended is expected to end at any moment; 0 would say
+/// that a core is free.
+constexpr Duration kShortestRest{1};
 
 }  // namespace
 
@@ -33,6 +41,7 @@
     Entry& entry = entries_[peer.hello->incarnation];
     if (entry.link == link) {
       entry.linked = false;
+      DropHolds(peer.hello->incarnation);
       selection_.OnUnlinked(peer.hello->link_address, now);
       next_selection_ = now;
     }
@@ -55,6 +64,7 @@
   selection_.Add(hello.link_address, now);
   selection_.OnLinked(hello.link_address);
   const bool is_new = !entries_.contains(hello.incarnation);
+  DropHolds(hello.incarnation);  // Of a link that this one replaces.
   Entry& entry = entries_[hello.incarnation];
   entry.name = hello.name;
   entry.link_address = hello.link_address;
@@ -118,6 +128,7 @@
     }
     if (!peer.releasing_since) {
       peer.releasing_since = now;
+      DropHolds(peer.hello->incarnation);
       ++state_version_;
     }
     if (now - *peer.releasing_since < kReleaseGracePeriod ||
@@ -185,6 +196,7 @@
 // The other entries get one report for all changes within an interval.
 // Heartbeats that are due soon share these frames.
 void WorkerSession::SendReports(TimePoint now) {
+  ExpireHolds(now);
   const bool to_all = now >= next_report_;
   bool sent = false;
   for (auto& [link, peer] : peers_) {
@@ -202,6 +214,7 @@
 void WorkerSession::SendReport(LinkId link, Peer& peer, TimePoint now) {
   peer.reported_version = state_version_;
   peer.task_end_sent = false;
+  peer.cores_hidden = HiddenCpu(peer, now) > kCpuEpsilon;
   if (worker_) {
     const WorkerCard card = Card();
     if (peer.sent_card != card) {
@@ -212,6 +225,34 @@
   Send(link, Report(peer, now));
 }
 
+// ---- cores held for entries whose tasks wait
+
+void WorkerSession::ExpireHolds(TimePoint now) {
+  const std::size_t expired = hold_.Expire(now);
+  if (expired == 0) return;
+  counters_.holds_expired += expired;
+  RepeatReportsThatHidCores();
+}
+
+void WorkerSession::DropHolds(Incarnation entry) {
+  if (hold_.Drop(entry)) RepeatReportsThatHidCores();
+}
+
+// A hold that ends changes nothing for the entry it was for, nor for those that
+// were sent no report meanwhile: a new version of the state would cost all of
+// them a frame.
+void WorkerSession::RepeatReportsThatHidCores() {
+  for (auto& [link, peer] : peers_) {
+    if (peer.cores_hidden) peer.reported_version = 0;
+  }
+}
+
+double WorkerSession::HiddenCpu(const Peer& peer, TimePoint now) const {
+  if (!worker_ || !peer.hello) return 0;
+  const double free = std::max(0.0, worker_->capacity.cpu - in_use_.cpu);
+  return std::min(free, hold_.HeldFrom(peer.hello->incarnation, now));
+}
+
 WorkerCard WorkerSession::Card() const {
   WorkerCard card;
   card.id = worker_->id;
@@ -230,6 +271,7 @@
   if (worker_) {
     report.free = worker_->capacity;
     report.free -= in_use_;
+    report.free.cpu -= HiddenCpu(peer, now);
   }
   report.cpu_received = peer.cpu_received;
   for (const auto& [id, attempt] : attempts_) {
@@ -246,7 +288,37 @@
   }
   report.slowness = run_statistics_.slowness();
   report.failing = run_statistics_.failing();
+  report.speed_runs =
+      static_cast<std::uint32_t>(run_statistics_.speed().runs());
+  report.next_end = ExpectedNextEnd(report.free, now);
   return report;
 }
 
+Duration WorkerSession::ExpectedNextEnd(const Resources& free,
+                                        TimePoint now) const {
+  if (free.cpu >= kFreeCore) return Duration(0);
+  std::optional<Duration> first;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.state == State::kQueued) continue;
+    const Duration rest = ExpectedRest(attempt, now);
+    if (!first || rest < *first) first = rest;
+  }
+  return first.value_or(Duration(0));
+}
+
+// Extrapolated from the moment of the last progress, as polls may be 80 ms
+// apart. Progress lags at the start of a run, which makes the rest too long:
+// other runs end sooner, so the first end is hardly affected.
+Duration WorkerSession::ExpectedRest(const Attempt& attempt,
+                                     TimePoint now) const {
+  Duration whole(static_cast<std::int64_t>(
+      static_cast<double>(attempt.order.estimate.ms()) *
+      run_statistics_.slowness()));
+  if (attempt.percent > 0) {
+    whole =
+        (attempt.last_progress_at - attempt.started_at) * 100 / attempt.percent;
+  }
+  return std::max(kShortestRest, whole - (now - attempt.started_at));
+}
+
 }  // namespace geranium
