--- a/standins/step_simulator_links.cc
+++ b/standins/step_simulator_links.cc
@@ -31,7 +31,8 @@
   options.link_address = EntryAddress(index);
   options.scheduler = options_.scheduler;
   options.scheduler.incarnation = options.incarnation;
-  options.scheduler.placement.data_centre = DataCentreName("dc-" + std::to_string(index));
+  options.scheduler.placement.data_centre =
+      DataCentreName("dc-" + std::to_string(index));
   entry.node = std::make_unique<StepEntryNode>(options);
   entry.alive = true;
   ++entry.incarnation;
