--- a/src/data_centre/route_table_copies.cc
+++ b/src/data_centre/route_table_copies.cc
@@ -139,7 +139,7 @@
     return;
   }
   ++counters_.failed_writes;
-  // A copy that may have been stored is not paid for twice.
+  // Writes are priced: one that may have stored the copy is not repeated.
   const bool is_superseded = pending_ || written.is_write_due;
   const bool again = !is_superseded && !written.is_retry &&
                      result.error().execution == Execution::kNotRun;
--- a/src/entry/late_job_policy.h
+++ b/src/entry/late_job_policy.h
@@ -25,7 +25,7 @@
 
   bool IsUnderPressure(TimePoint now) const;
   /// Whether this much work of late jobs can still be started by `deadline` at
-  /// the rate of late.
+  /// the recent rate.
   bool CanStartBy(double core_ms, TimePoint deadline, TimePoint now) const;
 
  private:
--- a/src/entry/locality_wait.cc
+++ b/src/entry/locality_wait.cc
@@ -31,9 +31,9 @@
 
 }  // namespace
 
-// The whole wait of a task is bounded by what running elsewhere would have
-// lost, however often the expectation is disappointed: at worst the task loses
-// twice what it would have lost had it been placed elsewhere at once.
+// The whole wait of a task is bounded by the accepted wait, however often the
+// expected wait turns out too short: at 100 % the task loses at worst twice
+// what it would have lost elsewhere at once, three times while others wait.
 std::optional<TimePoint> LocalityWait::WaitUntil(
     const LocalityWaitInputs& inputs, TimePoint now) const {
   if (!is_used() || !inputs.expected_wait) return std::nullopt;
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -71,7 +71,7 @@
   int priority = 0;
   Duration estimate;
   Duration max_wait;  ///< For capacity, before the order is returned.
-  /// More of the entry's tasks wait that may run at this worker.
+  /// The entry's last placing pass left tasks waiting, for whatever worker.
   bool more_waiting = false;
 
   template <class A>
--- a/src/worker/worker_speed.cc
+++ b/src/worker/worker_speed.cc
@@ -4,8 +4,8 @@
 
 namespace geranium {
 
-// The moving average over four runs that was used before ranged from 0.9 to 5.7
-// on sound workers. Of 15 runs eight have to be slow before the median is.
+// A moving average over four runs ranged from 0.9 to 5.7 on sound workers. Of
+// 15 runs eight have to be slow before the median is.
 void WorkerSpeed::Add(Duration ran, Duration estimate) {
   if (estimate.ms() <= 0) return;
   const double ratio =
