Check a manifest of routes before it is published

A manifest with an invalid field is ignored by entries, and a route that never matches or a limit that no job can meet shows only in callers' answers.

`geraniumctl check-routes FILE [--in-force FILE]` reports errors, warnings and what differs from the version in force (RouteTableCheck, without I/O). Which manifests entries adopt is unchanged. A file that can be opened but not read, such as a directory, is now reported as unreadable instead of being read as empty.

--- a/src/operator/commands.cc
+++ b/src/operator/commands.cc
@@ -9,9 +9,13 @@
 #include <thread>
 #include <utility>
 
+#include "contract/route_table_check.h"
 #include "contract/service_config.h"
 #include "operator/line_diff.h"
+#include "platform/ingress.h"
+#include "platform/operator_log.h"
 #include "runtime/answers.h"
+#include "runtime/http_server.h"
 
 namespace geranium {
 namespace {
@@ -27,6 +31,11 @@
     return Error{ErrorCode::kInvalidText, "read text", path,
                  path + ": cannot open file", Execution::kNotRun};
   }
+  stream.peek();  // A directory can be opened but not read.
+  if (stream.bad()) {
+    return Error{ErrorCode::kInvalidText, "read text", path,
+                 path + ": cannot read file", Execution::kNotRun};
+  }
   std::ostringstream text;
   text << stream.rdbuf();
   return text.str();
@@ -126,6 +135,34 @@
   return CtlExit::kOk;
 }
 
+CtlExit Commands::CheckRoutes(const std::string& file) const {
+  const auto text = ReadText(file);
+  if (!text) return Fail(text.error(), CtlExit::kNoInput);
+  const RouteManifest manifest = platform::ReadRouteManifest(text.value());
+  std::optional<RouteManifest> in_force;
+  if (!options_.in_force_file.empty()) {
+    const auto in_force_text = ReadText(options_.in_force_file);
+    if (!in_force_text) return Fail(in_force_text.error(), CtlExit::kNoInput);
+    in_force = platform::ReadRouteManifest(in_force_text.value());
+  }
+  const RouteTableCheck check(
+      {static_cast<std::int64_t>(platform::kSmallestJobBody.size()),
+       static_cast<std::int64_t>(HttpServer::kMaxBodyBytes)});
+  const auto findings = check.Run(manifest, in_force ? &*in_force : nullptr);
+  for (const RouteFinding& finding : findings) {
+    const std::string severity(Name(finding.severity));
+    if (options_.json) {
+      // The file may contain bytes that are not UTF-8.
+      std::cout << Json{{"severity", severity}, {"message", finding.message}}
+                       .dump(-1, ' ', false, Json::error_handler_t::replace)
+                << "\n";
+    } else {
+      std::cout << severity << ": " << finding.message << "\n";
+    }
+  }
+  return HasErrors(findings) ? CtlExit::kRefused : CtlExit::kOk;
+}
+
 CtlExit Commands::Publish(const std::string& file) const {
   auto text = ReadText(file);
   if (!text) return Fail(text.error());
--- a/src/operator/commands.h
+++ b/src/operator/commands.h
@@ -13,10 +13,11 @@
 /// Exit statuses of `geraniumctl`.
 enum class CtlExit {
   kOk = 0,
-  kRefused = 1,    ///< Invalid, or failed without changing anything.
-  kConflict = 2,   ///< A newer version is in force.
-  kUnknown = 3,    ///< The change may or may not have been made.
-  kNotInForce = 4  ///< Accepted, but not in force everywhere on time.
+  kRefused = 1,     ///< Invalid, or failed without changing anything.
+  kConflict = 2,    ///< A newer version is in force.
+  kUnknown = 3,     ///< The change may or may not have been made.
+  kNotInForce = 4,  ///< Accepted, but not in force everywhere on time.
+  kNoInput = 66     ///< A file cannot be read.
 };
 
 struct CtlOptions {
@@ -25,6 +26,7 @@
   Duration timeout{10'000};
   std::optional<std::int64_t> edited_from;
   std::string output_file;
+  std::string in_force_file;
 };
 
 /// The commands of `geraniumctl`, one function each. Results go to standard
@@ -35,6 +37,9 @@
       : site_(site), options_(std::move(options)) {}
 
   CtlExit Check(const std::string& file) const;
+  /// Checks a manifest of the platform's routes and compares it with the one
+  /// in `options.in_force_file`, if any.
+  CtlExit CheckRoutes(const std::string& file) const;
   CtlExit Publish(const std::string& file) const;
   CtlExit Show() const;
   CtlExit History() const;
--- a/src/programs/geraniumctl.cc
+++ b/src/programs/geraniumctl.cc
@@ -20,6 +20,7 @@
 constexpr char kUsage[] =
     "COMMAND\n"
     "  check FILE             check a text without publishing it\n"
+    "  check-routes FILE      check a manifest of routes (JSON)\n"
     "  publish FILE           publish a text and wait until in force\n"
     "  show                   print the text in force\n"
     "  history                list changes on the log and whether accepted\n"
@@ -30,7 +31,7 @@
     "  wait VERSION           wait until a version is in force everywhere\n"
     "Exit status: 0 done, 1 refused, 2 conflict, 3 unknown, 4 not in "
     "force\n"
-    "on time, 64 usage, 78 settings.";
+    "on time, 64 usage, 66 unreadable file (check-routes), 78 settings.";
 
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("geraniumctl", "Operates a geraniumdyke site.");
@@ -50,7 +51,9 @@
            cxxopts::value<std::int64_t>(),
            "VERSION")("out", "output file of show",
                       cxxopts::value<std::string>()->default_value(""), "FILE")(
-      "words", "", cxxopts::value<std::vector<std::string>>());
+      "in-force", "manifest that check-routes compares with",
+      cxxopts::value<std::string>(),
+      "FILE")("words", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"words"});
   return options;
 }
@@ -62,6 +65,9 @@
   const std::size_t count = args.size();
   const std::string& command = args.front();
   if (command == "check" && count == 2) return commands.Check(args[1]);
+  if (command == "check-routes" && count == 2) {
+    return commands.CheckRoutes(args[1]);
+  }
   if (command == "publish" && count == 2) return commands.Publish(args[1]);
   if (command == "show" && count == 1) return commands.Show();
   if (command == "history" && count == 1) return commands.History();
@@ -122,6 +128,12 @@
   }
   const geranium::SiteClient site(log, entries);
   const auto args = parsed["words"].as<Arguments>();
+  if (parsed.count("in-force") > 0) {
+    ctl.in_force_file = parsed["in-force"].as<std::string>();
+    if (args.front() != "check-routes" || ctl.in_force_file.empty()) {
+      return UsageError("--in-force takes a file and goes with check-routes");
+    }
+  }
   const auto exit = RunCommand(Commands(site, ctl), args);
   if (!exit)
     return UsageError("'" + args.front() +
