Fix what the review of placing and refusals found

Cause, found by reading: a held job could be refused as not run while another entry ran it; a task could wait for its rack though a worker there had room, and its wait kept others of its kind from being placed; held jobs and tasks waiting for their rack counted as pressure; late jobs were refused while workers were still being discovered; the flag of waiting tasks was one pass old; later steps and the queue for a rack did not count in the time left and the expected wait; a pending copy of the route table was dropped when the same table was listed again.

Change: placement tells a wait from a lack of room, and only the latter counts as pressure. Holding a job marks it as possibly run.

--- a/src/data_centre/route_table_copies.cc
+++ b/src/data_centre/route_table_copies.cc
@@ -65,8 +65,6 @@
   if (partitions_.empty() || table.offset <= value_offset_) return;
   pending_ = table;
   pending_since_ = now;
-  // Superseded before their retry.
-  for (Partition& partition : partitions_) partition.is_write_due = false;
 }
 
 // The log is listed anew after its compaction, with a higher offset and the
@@ -140,7 +138,7 @@
   }
   ++counters_.failed_writes;
   // Writes are priced: one that may have stored the copy is not repeated.
-  const bool is_superseded = pending_ || written.is_write_due;
+  const bool is_superseded = written.is_write_due;
   const bool again = !is_superseded && !written.is_retry &&
                      result.error().execution == Execution::kNotRun;
   if (again) {
--- a/src/entry/open_step_job.cc
+++ b/src/entry/open_step_job.cc
@@ -1,5 +1,6 @@
 #include "entry/open_step_job.h"
 
+#include <algorithm>
 #include <string>
 
 namespace geranium {
@@ -23,6 +24,17 @@
   return sum;
 }
 
+std::vector<Duration> TimeAfterSteps(const StepJob& job) {
+  std::vector<Duration> after(job.steps.size());
+  for (std::size_t index = job.steps.size(); index-- > 0;) {
+    const StepSpec& step = job.steps[index];
+    for (const std::size_t earlier : step.dependencies) {
+      after[earlier] = std::max(after[earlier], after[index] + step.estimate);
+    }
+  }
+  return after;
+}
+
 TaskName NameOf(const OpenStepJob& job, std::size_t step, std::size_t task) {
   return TaskName(job.spec.id.value() + ".0." + std::to_string(step) + "." +
                   std::to_string(task));
--- a/src/entry/open_step_job.h
+++ b/src/entry/open_step_job.h
@@ -29,6 +29,7 @@
   std::vector<StepTask> tasks;
   std::size_t waiting = 0;
   std::size_t done = 0;
+  Duration time_after;  ///< Estimated, for the steps that depend on it.
 };
 
 /// In order of submission.
@@ -59,6 +60,9 @@
 /// The estimated processor time of all tasks.
 double CoreMs(const StepJob& job);
 
+/// For each step the estimated time of the longest chain of steps after it.
+std::vector<Duration> TimeAfterSteps(const StepJob& job);
+
 /// The name of one task of a job, the same at every entry.
 TaskName NameOf(const OpenStepJob& job, std::size_t step, std::size_t task);
 
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <vector>
 
 #include "entry/placement_cost.h"
@@ -95,13 +96,26 @@
                      });
 }
 
+void Placement::BeginPass(bool lacks_room) {
+  lacks_room_ = lacks_room;
+  cores_waiting_.clear();
+}
+
 void Placement::Update(TimePoint now) {
   if (!options_.by_speed) return;
-  std::vector<WorkerReport> reports;
-  for (const auto& [agent, worker] : workers_.workers()) {
-    if (workers_.TakesOrders(worker, now)) reports.push_back(worker.report);
-  }
-  run_times_.Update(reports);
+  const auto takes_orders = [&](const KnownWorker& worker) {
+    return workers_.TakesOrders(worker, now);
+  };
+  run_times_.Update(workers_.workers() | std::views::values |
+                    std::views::filter(takes_orders) |
+                    std::views::transform(&KnownWorker::report));
+}
+
+// Steps that follow need the rest of the time until the objective.
+Duration Placement::TimeLeft(const PlacementRequest& request,
+                             TimePoint now) const {
+  return request.job->deadlines.objective - now -
+         request.job->steps[request.step].time_after;
 }
 
 Duration Placement::MedianRunTime(const StepSpec& step) const {
@@ -126,7 +140,7 @@
       worker.IsLocalTo(step) ? 1 : options_.cross_rack_factor;
   inputs.used =
       1 - worker.FreeCpu(request.priority()) / std::max(card.capacity.cpu, 1.0);
-  inputs.time_left = request.job->deadlines.objective - now;
+  inputs.time_left = TimeLeft(request, now);
   inputs.other_data_centre = card.data_centre != options_.data_centre;
   inputs.avoid = request.state().avoid_worker == card.id;
   return PlacementCost(inputs);
@@ -147,27 +161,33 @@
   RackQueue queue;
   queue.mean_estimate = MedianRunTime(step);
   queue.task_cores = step.size.cpu;
+  const auto ahead = cores_waiting_.find(step.data_rack);
+  if (ahead != cores_waiting_.end()) queue.cores_ahead = ahead->second;
   LocalityWaitInputs inputs;
   inputs.estimate = queue.mean_estimate;
   inputs.cross_rack_factor = options_.cross_rack_factor;
   inputs.relative_run_time = RelativeRunTime(elsewhere);
   inputs.expected_wait = ExpectedLocalWait(rack, queue);
   inputs.waited = now - request.job->submitted;
-  inputs.time_left =
-      request.job->deadlines.objective - now - queue.mean_estimate;
-  inputs.others_wait = tasks_waiting_;
+  inputs.time_left = TimeLeft(request, now) - queue.mean_estimate;
+  inputs.others_wait = lacks_room_;
   return locality_wait_.WaitUntil(inputs, now).has_value();
 }
 
-KnownWorker* Placement::Choose(const PlacementRequest& request, TimePoint now) {
-  const bool has_data = !request.spec().data_rack.empty();
+Placement::Choice Placement::Choose(const PlacementRequest& request,
+                                    TimePoint now) {
+  const StepSpec& step = request.spec();
+  const bool has_data = !step.data_rack.empty();
   const bool has_local_worker = has_data && HasLocalWorker(request, now);
   KnownWorker* best = nullptr;
   double best_cost = 0;
+  bool has_local_room = false;
   for (auto& [agent, worker] : workers_.workers()) {
     if (!IsEligible(worker, request, now)) continue;
-    if (has_local_worker && !locality_wait_.is_used() &&
-        !worker.IsLocalTo(request.spec()) && !MayPlaceRemote(worker, request)) {
+    const bool is_local = !has_data || worker.IsLocalTo(step);
+    has_local_room = has_local_room || is_local;
+    if (has_local_worker && !locality_wait_.is_used() && !is_local &&
+        !MayPlaceRemote(worker, request)) {
       continue;
     }
     const double cost = Cost(worker, request, now);
@@ -176,18 +196,18 @@
       best_cost = cost;
     }
   }
-  if (best == nullptr || !has_data) return best;
-  if (best->IsLocalTo(request.spec())) {
-    ++counters_.local;
-    return best;
-  }
-  if (has_local_worker && locality_wait_.is_used() &&
+  if (best == nullptr) return {Outcome::kNoRoom, nullptr};
+  if (!has_data) return {Outcome::kPlaced, best};
+  if (has_local_worker && !has_local_room && locality_wait_.is_used() &&
       IsWaitingWorthwhile(*best, request, now)) {
     ++counters_.locality_waits;
-    return nullptr;
+    cores_waiting_[step.data_rack] +=
+        step.size.cpu *
+        static_cast<double>(request.job->steps[request.step].waiting);
+    return {Outcome::kWaitsForRack, nullptr};
   }
-  ++counters_.remote;
-  return best;
+  ++(best->IsLocalTo(step) ? counters_.local : counters_.remote);
+  return {Outcome::kPlaced, best};
 }
 
 bool Placement::HasRoom(const PlacementRequest& request, TimePoint now) const {
--- a/src/entry/placement.h
+++ b/src/entry/placement.h
@@ -3,6 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -65,16 +68,21 @@
   /// Fraction of each worker's cores that is kept free for urgent tasks.
   void SetUrgentReserve(double fraction) { urgent_reserve_ = fraction; }
 
-  /// Whether tasks wait at this entry, so that cores are scarce.
-  void SetTasksWaiting(bool waiting) { tasks_waiting_ = waiting; }
+  /// To be called before the tasks in the queue are placed in order;
+  /// `lacks_room`: tasks are left without room, so that cores are scarce.
+  void BeginPass(bool lacks_room);
   /// Updates what is known of the workers' speeds.
   void Update(TimePoint now);
   bool is_uneven() const { return run_times_.is_uneven(); }
   const PlacementCounters& counters() const { return counters_; }
 
-  /// Null if no worker has room for the task now, or if waiting for one near
-  /// its data pays.
-  KnownWorker* Choose(const PlacementRequest& request, TimePoint now);
+  enum class Outcome { kPlaced, kNoRoom, kWaitsForRack };
+  struct Choice {
+    Outcome outcome = Outcome::kNoRoom;
+    KnownWorker* worker = nullptr;  ///< Set if placed.
+  };
+
+  Choice Choose(const PlacementRequest& request, TimePoint now);
   /// True if a worker, in whatever rack, has room for the task now.
   bool HasRoom(const PlacementRequest& request, TimePoint now) const;
   /// Run time of a task of the step at the worker by its estimate and rack.
@@ -94,6 +102,7 @@
   double ReservedCpu(const KnownWorker& worker, int priority) const;
   double UrgentAheadCpu(const KnownWorker& worker, double task_cpu,
                         int priority) const;
+  Duration TimeLeft(const PlacementRequest& request, TimePoint now) const;
   Duration MedianRunTime(const StepSpec& step) const;
   double RelativeRunTime(const KnownWorker& worker) const;
   double Cost(const KnownWorker& worker, const PlacementRequest& request,
@@ -109,7 +118,9 @@
   LocalityWait locality_wait_;
   RunTimeModel run_times_;
   double urgent_reserve_ = 0;
-  bool tasks_waiting_ = false;
+  bool lacks_room_ = false;
+  /// Cores of tasks left waiting for each rack in this pass.
+  std::map<std::string, double> cores_waiting_;
   PlacementCounters counters_;
 };
 
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -93,9 +93,12 @@
   job.deadlines =
       admission_.DeadlinesOf(CriticalPath(spec), route, caller_timeout, now);
   const std::string unsupported = UnsupportedReason(spec, route);
+  const std::vector<Duration> time_after = TimeAfterSteps(spec);
   bool fits = true;
   for (const StepSpec& step : spec.steps) {
-    job.steps.emplace_back().tasks.resize(step.count);
+    StepProgress& progress = job.steps.emplace_back();
+    progress.tasks.resize(step.count);
+    progress.time_after = time_after[job.steps.size() - 1];
     fits = fits && workers_.FitsAny(step, route.service);
   }
   job.spec = std::move(spec);
@@ -207,6 +210,15 @@
   return {open.begin(), open.end()};
 }
 
+// A job that another entry may run must not be refused as not run.
+void StepScheduler::Hold(const StepJobId& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  OpenStepJob& job = jobs_.at(found->second);
+  job.held = true;
+  job.may_have_run = true;
+}
+
 void StepScheduler::Release(const StepJobId& id, bool is_first, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) return;
@@ -261,7 +273,7 @@
   ExpireJobs(now);
   RefuseIsolatedJobs(now);
   RequeueLateJobs(now);
-  if (options_.refuse_late) RefuseLateJobs(now);
+  if (options_.refuse_late && !discovering_) RefuseLateJobs(now);
   PlaceWaitingTasks(now);
 }
 
@@ -303,10 +315,11 @@
   std::vector<JobNumber> refused;
   for (const JobNumber number : queue_.LateJobs()) {
     const OpenStepJob& job = jobs_.at(number);
-    if (job.may_have_run) continue;
     const double core_ms = job.WaitingCoreMs();
-    if (late_jobs_.CanStartBy(ahead + core_ms, job.deadlines.start_deadline,
-                              now)) {
+    if (job.may_have_run) {
+      ahead += core_ms;
+    } else if (late_jobs_.CanStartBy(ahead + core_ms,
+                                     job.deadlines.start_deadline, now)) {
       ahead += core_ms;
     } else {
       refused.push_back(number);
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -84,11 +84,9 @@
   /// Cancels an open job at its caller's request; false if it is unknown.
   bool Cancel(const StepJobId& id, TimePoint now);
   std::size_t CountPending(const Route& route) const;
-  /// Starts no more tasks of the job until it is released.
-  void Hold(const StepJobId& id) {
-    const auto found = by_id_.find(id);
-    if (found != by_id_.end()) jobs_.at(found->second).held = true;
-  }
+  /// Starts no more tasks of the job until it is released: another entry may
+  /// have runs of it.
+  void Hold(const StepJobId& id);
   /// Allows a held job to be dispatched; `is_first` if nothing of it can have
   /// run before, so that it may still be refused.
   void Release(const StepJobId& id, bool is_first, TimePoint now);
@@ -192,10 +190,13 @@
   // Placing.
 
   static void UnblockSteps(OpenStepJob& job);
-  void PlaceStep(OpenStepJob& job, std::size_t index, UnplacedSizes& unplaced,
-                 PlacementSummary& placed, TimePoint now);
-  bool PlaceTask(OpenStepJob& job, std::size_t step, std::size_t task,
+  /// Returns true if tasks were left without room at any worker.
+  bool PlaceStep(OpenStepJob& job, std::size_t index, UnplacedSizes& unplaced,
                  PlacementSummary& placed, TimePoint now);
+  void SetMoreWaiting(std::size_t first_action);
+  Placement::Outcome PlaceTask(OpenStepJob& job, std::size_t step,
+                               std::size_t task, PlacementSummary& placed,
+                               TimePoint now);
   static Duration MaxQueueWait(Duration estimate);
   void SendOrder(OpenStepJob& job, std::size_t step, std::size_t task,
                  KnownWorker& worker, TimePoint now);
@@ -247,7 +248,7 @@
   bool discovering_ = true;
   /// This entry's share of the workers' cores.
   double capacity_share_ = 0;
-  bool left_waiting_ = false;  ///< The last pass left tasks waiting.
+  bool lacks_room_ = false;  ///< The last pass left tasks without room.
   std::vector<StepJobId> relinquished_;
   std::vector<StepJobId> ended_;
   StepCounters counters_;
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -21,57 +21,85 @@
 
 void StepScheduler::PlaceWaitingTasks(TimePoint now) {
   UnplacedSizes unplaced;
-  placement_.SetTasksWaiting(left_waiting_);
+  const std::size_t first_action = actions_.size();
+  bool any_lacks_room = false;
+  bool in_time_lacks_room = false;
+  placement_.BeginPass(lacks_room_);
   for (const JobNumber number : queue_.Jobs()) {
     OpenStepJob& job = jobs_.at(number);
     if (job.held) continue;
     PlacementSummary placed;
+    bool lacks_room = false;
     for (std::size_t s = 0; s < job.steps.size(); ++s) {
-      PlaceStep(job, s, unplaced, placed, now);
+      lacks_room = PlaceStep(job, s, unplaced, placed, now) || lacks_room;
     }
+    any_lacks_room = any_lacks_room || lacks_room;
+    in_time_lacks_room = in_time_lacks_room || (lacks_room && !job.late);
     if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) queue_.Erase(job);
   }
-  left_waiting_ = !queue_.empty();
-  late_jobs_.OnPlacingPass(queue_.has_jobs_in_time(), now);
+  lacks_room_ = any_lacks_room;
+  if (lacks_room_) SetMoreWaiting(first_action);
+  late_jobs_.OnPlacingPass(in_time_lacks_room, now);
+}
+
+// Only the end of a pass shows whether tasks are left without room.
+void StepScheduler::SetMoreWaiting(std::size_t first_action) {
+  for (std::size_t i = first_action; i < actions_.size(); ++i) {
+    auto* send = std::get_if<SendMessage>(&actions_[i]);
+    if (send == nullptr) continue;
+    auto* order = std::get_if<StartTask>(&send->message);
+    if (order != nullptr) order->more_waiting = true;
+  }
 }
 
 // Where a task found no worker, no larger one of its kind will in this pass:
-// with a long queue, most tasks need no search.
-void StepScheduler::PlaceStep(OpenStepJob& job, std::size_t index,
+// with a long queue, most tasks need no search. One that waits for a place near
+// its data says nothing about others, which may have less time.
+bool StepScheduler::PlaceStep(OpenStepJob& job, std::size_t index,
                               UnplacedSizes& unplaced, PlacementSummary& placed,
                               TimePoint now) {
   StepProgress& step = job.steps[index];
   const StepSpec& spec = job.spec.steps[index];
-  if (step.waiting == 0) return;
+  if (step.waiting == 0) return false;
   const std::tuple kind(job.route.service, job.route.priority,
                         spec.required_label, spec.data_rack,
                         isolation_.IsIsolated(job.route));
   const auto too_large = unplaced.find(kind);
   if (too_large != unplaced.end() && spec.size.CanFit(too_large->second)) {
-    return;
+    return true;
   }
   for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
     if (step.tasks[t].state != StepTaskState::kWaiting) continue;
-    if (PlaceTask(job, index, t, placed, now)) continue;
+    switch (PlaceTask(job, index, t, placed, now)) {
+      case Placement::Outcome::kPlaced:
+        continue;
+      case Placement::Outcome::kWaitsForRack:
+        return false;
+      case Placement::Outcome::kNoRoom:
+        break;
+    }
     if (isolation_.CountCrashesAtStart(job, index, t) > 0) continue;
     if (spec.max_per_worker == 0) unplaced[kind] = spec.size;
-    return;
+    return true;
   }
+  return false;
 }
 
-bool StepScheduler::PlaceTask(OpenStepJob& job, std::size_t step,
-                              std::size_t task, PlacementSummary& placed,
-                              TimePoint now) {
+Placement::Outcome StepScheduler::PlaceTask(OpenStepJob& job, std::size_t step,
+                                            std::size_t task,
+                                            PlacementSummary& placed,
+                                            TimePoint now) {
   const bool is_suspect = isolation_.CountCrashesAtStart(job, step, task) > 0;
-  KnownWorker* worker =
+  const Placement::Choice choice =
       placement_.Choose(PlacementRequest{&job, step, task, is_suspect}, now);
-  if (worker == nullptr) return false;
-  ++placed.tasks[worker->card->id.value()];
+  if (choice.outcome != Placement::Outcome::kPlaced) return choice.outcome;
+  KnownWorker& worker = *choice.worker;
+  ++placed.tasks[worker.card->id.value()];
   placed.oldest_report =
-      std::max(placed.oldest_report, now - worker->reported_at);
-  SendOrder(job, step, task, *worker, now);
-  return true;
+      std::max(placed.oldest_report, now - worker.reported_at);
+  SendOrder(job, step, task, worker, now);
+  return choice.outcome;
 }
 
 void StepScheduler::LogPlaced(const OpenStepJob& job,
@@ -127,7 +155,6 @@
   order.priority = job.route.priority;
   order.estimate = placement_.EstimateAt(worker, spec);
   order.max_wait = MaxQueueWait(order.estimate);
-  order.more_waiting = left_waiting_;
   Send(*worker.link, std::move(order));
 }
 
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -32,12 +32,12 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
-QueueOrder ReadQueueOrder(IniSection& section) {
-  const std::string name = section.Text("queue_order", "priority");
+QueueOrder ReadQueueOrder(IniSection& entry) {
+  const std::string name = entry.Text("queue_order", "priority");
   if (name == "latest_start") return QueueOrder::kLatestStart;
   if (name != "priority") {
-    section.AddError("queue_order",
-                     "is '" + name + "'; expected priority or latest_start");
+    entry.AddError("queue_order",
+                   "is '" + name + "'; expected priority or latest_start");
   }
   return QueueOrder::kPriority;
 }
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -40,15 +40,21 @@
 
   KnownWorker& At(std::uint64_t id) { return *workers_.Find(Incarnation(id)); }
 
+  /// The worker's number; 0 if there is no room, `kWaits` for a wait.
   std::uint64_t Choose() {
-    Placement placement({}, workers_, isolation_);
+    Placement placement(options_, workers_, isolation_);
     placement.SetUrgentReserve(reserve_);
     workers_.Update();
-    const KnownWorker* worker =
-        placement.Choose(PlacementRequest{&job_, 0, 0}, kNow);
-    return worker == nullptr ? 0 : worker->agent.value();
+    placement.Update(kNow);
+    placement.BeginPass(false);
+    const auto choice = placement.Choose(PlacementRequest{&job_, 0, 0}, kNow);
+    if (choice.outcome == Placement::Outcome::kWaitsForRack) return kWaits;
+    return choice.worker == nullptr ? 0 : choice.worker->agent.value();
   }
 
+  static constexpr std::uint64_t kWaits = 99;
+  PlacementOptions options_;
+
   static constexpr TimePoint kNow{1000};
   WorkerLedger workers_;
   RouteIsolation isolation_;
@@ -97,6 +103,51 @@
   CHECK(Choose() == 3);
 }
 
+// Many jobs want the same rack. Guards against waits that cost more than a run
+// elsewhere, and against waits while the rack has room.
+TEST_CASE_METHOD(PlacementTest,
+                 "Placement of a task with data waits for its rack while that "
+                 "is shorter than what a run elsewhere loses") {
+  options_.locality_wait.wait_percent = 100;
+  options_.cross_rack_factor = 2;
+  job_.spec.steps[0].data_rack = "r1";
+  job_.submitted = kNow;
+  job_.deadlines.objective = kNow + Duration(400);
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    At(id).report.free.cpu = 0;
+    At(id).report.next_end = Duration(60);
+    At(id).reported_at = kNow;
+  }
+  CHECK(Choose() == kWaits);
+  job_.submitted = kNow - Duration(60);
+  CHECK(Choose() == 3);
+  job_.submitted = kNow;
+  job_.deadlines.objective = kNow + Duration(140);
+  CHECK(Choose() == 3);
+  job_.deadlines.objective = kNow + Duration(400);
+  At(2).report.free.cpu = 3;
+  CHECK(Choose() == 2);
+}
+
+// Workers of uneven speed. Guards against a task that waits for its rack while
+// a slow worker there is free and a fast one elsewhere is cheaper.
+TEST_CASE_METHOD(PlacementTest,
+                 "Placement by speed of a task with data never waits while its "
+                 "rack has room") {
+  options_.by_speed = true;
+  options_.locality_wait.wait_percent = 100;
+  AddWorker(4, "r2");
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    At(id).report.slowness = id == 3 ? 0.55 : 1.2;
+    At(id).report.speed_runs = 15;
+  }
+  job_.spec.steps[0].data_rack = "r1";
+  job_.spec.steps[0].estimate = Duration(760);
+  job_.deadlines.objective = kNow + Duration(1276);
+  CHECK(Choose() != kWaits);
+  CHECK(Choose() != 0);
+}
+
 TEST_CASE_METHOD(PlacementTest,
                  "Placement avoids workers that are silent, failing, draining "
                  "or not settled") {
