--- a/tests/process/process_group.h
+++ b/tests/process/process_group.h
@@ -22,6 +22,7 @@
   void Spawn(const std::string& name,
              const std::vector<std::string>& arguments);
   void Signal(const std::string& name, int signal);
+  pid_t Pid(const std::string& name) const { return processes_.at(name); }
   bool HasExited(const std::string& name) const;
   /// Waits for the exit. Returns its status; -1 if a signal ended the process.
   int AwaitExit(const std::string& name);
--- a/tests/process/step_site.cc
+++ b/tests/process/step_site.cc
@@ -14,6 +14,15 @@
 /// Longer than any job of the tests takes.
 constexpr Duration kCallTimeout{15'000};
 
+std::vector<std::string> WithSettings(
+    std::vector<std::string> arguments,
+    const std::vector<std::string>& settings) {
+  for (const std::string& setting : settings) {
+    arguments.insert(arguments.end(), {"--set", setting});
+  }
+  return arguments;
+}
+
 int Stride(int entries, int workers) {
   return std::max({kMinStride, entries, workers});
 }
@@ -76,26 +85,31 @@
 void StepSite::StartEntry(int entry) {
   processes_.Spawn(
       EntryName(entry),
-      {Program("geranium-entry"), "--set", "entry.id=" + EntryName(entry),
-       "--set", "entry.data_centre=north", "--set",
-       "entry.link_address=" + ProxiedAddress(LinkAddress(entry)), "--set",
-       "entry.link_listen_address=" + LinkAddress(entry), "--set",
-       "entry.caller_address=" + CallerAddress(entry), "--set",
-       "entry.ready_address=" + ReadyAddress(entry), "--set",
-       "entry.metrics_address=" + EntryMetricsAddress(entry), "--set",
-       "peers.entries=" + Seeds(), "--set",
-       "platform.store_address=" + StoreAddressFor(entry)});
+      WithSettings(
+          {Program("geranium-entry"), "--set", "entry.id=" + EntryName(entry),
+           "--set", "entry.data_centre=north", "--set",
+           "entry.link_address=" + ProxiedAddress(LinkAddress(entry)), "--set",
+           "entry.link_listen_address=" + LinkAddress(entry), "--set",
+           "entry.caller_address=" + CallerAddress(entry), "--set",
+           "entry.ready_address=" + ReadyAddress(entry), "--set",
+           "entry.metrics_address=" + EntryMetricsAddress(entry), "--set",
+           "peers.entries=" + Seeds(), "--set",
+           "platform.store_address=" + StoreAddressFor(entry)},
+          options_.entry_settings));
 }
 
 void StepSite::StartAgent(int worker) {
   processes_.Spawn(
       AgentName(worker),
-      {Program("geranium-agent"), "--set", "agent.id=" + AgentName(worker),
-       "--set", "agent.registration_address=" + RegistrationAddress(worker),
-       "--set", "agent.worker_address=" + ProxiedAddress(WorkerAddress(worker)),
-       "--set", "agent.metrics_address=" + AgentMetricsAddress(worker), "--set",
-       "peers.entries=" + Seeds(), "--set",
-       "platform.store_address=" + StoreAddress()});
+      WithSettings(
+          {Program("geranium-agent"), "--set", "agent.id=" + AgentName(worker),
+           "--set", "agent.registration_address=" + RegistrationAddress(worker),
+           "--set",
+           "agent.worker_address=" + ProxiedAddress(WorkerAddress(worker)),
+           "--set", "agent.metrics_address=" + AgentMetricsAddress(worker),
+           "--set", "peers.entries=" + Seeds(), "--set",
+           "platform.store_address=" + StoreAddress()},
+          options_.agent_settings));
 }
 
 bool StepSite::Publish(const std::string& manifest) const {
--- a/tests/process/step_site.h
+++ b/tests/process/step_site.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "process/process_group.h"
 #include "runtime/http_client.h"
@@ -15,6 +16,9 @@
   int workers = 3;
   /// Processes reach each other through a proxy, at other ports.
   bool is_proxied = false;
+  /// Further settings of all entries or agents, each "SECTION.KEY=VALUE".
+  std::vector<std::string> entry_settings = {};
+  std::vector<std::string> agent_settings = {};
 };
 
 /// Entries and agents as real processes on loopback, with a stand-in for the
