Limit what unidentified peers may send on links

Anybody may connect to the link address. A message was read up to 32 MB, so that eight connections raised an entry to 179 MB, and accepted connections could take all descriptors. Until its first valid frame a connection now may send messages of 256 KiB, and 128 such connections, or a quarter of the process's descriptors, are open at most; the oldest are closed for new ones. Bodies of HTTP requests are limited to 1 KiB.

--- a/src/link/web_socket/web_socket.cc
+++ b/src/link/web_socket/web_socket.cc
@@ -1,6 +1,10 @@
 #include "link/web_socket/web_socket.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <list>
 #include <map>
 #include <utility>
 #include <websocketpp/client.hpp>
@@ -30,6 +34,20 @@
 constexpr long kOpenTimeoutMs = 2000;
 constexpr auto kBinary = websocketpp::frame::opcode::binary;
 
+/// Limits for accepted connections until their first valid frame, since anybody
+/// may connect. A first frame lists at most the attempts or jobs that a process
+/// holds. After a restart of an entry, about 90 peers connect to it at once.
+constexpr std::size_t kMaxFirstMessageBytes = 262'144;
+constexpr std::size_t kMaxUnidentified = 128;
+constexpr std::size_t kMaxHttpBodyBytes = 1024;
+
+// At most a quarter of the process's descriptors.
+std::size_t MaxUnidentified() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return kMaxUnidentified;
+  return std::min<std::size_t>(kMaxUnidentified, limit.rlim_cur / 4);
+}
+
 bool ParseAddress(const std::string& address, Tcp::endpoint& endpoint) {
   const auto colon = address.rfind(':');
   if (colon == std::string::npos) return false;
@@ -51,6 +69,10 @@
     InitEndpoint(server_, io);
     InitEndpoint(client_, io);
     server_.set_reuse_addr(true);
+    server_.set_max_message_size(kMaxFirstMessageBytes);
+    server_.set_max_http_body_size(kMaxHttpBodyBytes);
+    server_.set_fail_handler(
+        [this](connection_hdl handle) { RemoveUnidentified(handle); });
     client_.set_open_handshake_timeout(kOpenTimeoutMs);
   }
 
@@ -88,6 +110,11 @@
     if (found != connections_.end()) found->second.send(bytes);
   }
 
+  void SetIdentified(ConnectionId id) {
+    const auto found = connections_.find(id);
+    if (found != connections_.end()) found->second.set_identified();
+  }
+
   void Close(ConnectionId id) {
     const auto found = connections_.find(id);
     if (found != connections_.end()) found->second.close();
@@ -112,6 +139,7 @@
  private:
   struct Connection {
     std::function<void(const std::string&)> send;
+    std::function<void()> set_identified;
     std::function<void()> close;
     std::function<void()> reset;
   };
@@ -121,12 +149,10 @@
     endpoint.clear_access_channels(websocketpp::log::alevel::all);
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&io);
-    // Frames are small and each is waited for, so none may be delayed (Nagle).
-    endpoint.set_tcp_post_init_handler([&endpoint](connection_hdl handle) {
-      boost::system::error_code ignored;
-      endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
-          Tcp::no_delay(true), ignored);
-    });
+    endpoint.set_tcp_post_init_handler(
+        [this, &endpoint](connection_hdl handle) {
+          OnSocketOpen(endpoint, handle);
+        });
     if constexpr (std::is_same_v<Endpoint, Server>) {
       endpoint.set_open_handler([this, &endpoint](connection_hdl handle) {
         AddConnection(endpoint.get_con_from_hdl(handle), "");
@@ -134,6 +160,34 @@
     }
   }
 
+  template <class Endpoint>
+  void OnSocketOpen(Endpoint& endpoint, const connection_hdl& handle) {
+    // Frames are small and each is waited for, so none may be delayed (Nagle).
+    boost::system::error_code ignored;
+    endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
+        Tcp::no_delay(true), ignored);
+    if constexpr (std::is_same_v<Endpoint, Server>) AddUnidentified(handle);
+  }
+
+  // Closes the oldest ones above the bound; their handlers run later.
+  void AddUnidentified(const connection_hdl& handle) {
+    unidentified_.push_back(handle);
+    while (unidentified_.size() > MaxUnidentified()) {
+      websocketpp::lib::error_code error;
+      const auto oldest =
+          server_.get_con_from_hdl(unidentified_.front(), error);
+      unidentified_.pop_front();
+      boost::system::error_code ignored;
+      if (oldest) oldest->get_raw_socket().close(ignored);
+    }
+  }
+
+  void RemoveUnidentified(const connection_hdl& handle) {
+    unidentified_.remove_if([&](const connection_hdl& other) {
+      return !other.owner_before(handle) && !handle.owner_before(other);
+    });
+  }
+
   template <class ConnectionPtr>
   void AddConnection(ConnectionPtr connection, const std::string& dialled) {
     const ConnectionId id = next_id_++;
@@ -142,6 +196,10 @@
       // A failed send is reported as a closed connection.
       (void)connection->send(bytes, kBinary);
     };
+    added.set_identified = [this, connection] {
+      connection->set_max_message_size(ClientConfig::max_message_size);
+      RemoveUnidentified(connection->get_handle());
+    };
     added.close = [connection] {
       websocketpp::lib::error_code ignored;
       connection->close(websocketpp::close::status::going_away, "", ignored);
@@ -159,7 +217,8 @@
           if (connections_.count(id) == 0) return;
           handlers_.on_message(id, message->get_payload());
         });
-    connection->set_close_handler([this, id](connection_hdl /*handle*/) {
+    connection->set_close_handler([this, id](connection_hdl handle) {
+      RemoveUnidentified(handle);
       if (connections_.erase(id) > 0) handlers_.on_close(id);
     });
     handlers_.on_open(id, dialled);
@@ -170,6 +229,8 @@
   Client client_;
   ConnectionId next_id_ = 1;
   std::map<ConnectionId, Connection> connections_;
+  /// Accepted connections without a valid frame, the oldest first.
+  std::list<connection_hdl> unidentified_;
 };
 
 WebSocketNode::WebSocketNode(boost::asio::io_context& io, Handlers handlers)
@@ -187,6 +248,8 @@
   impl_->Send(id, bytes);
 }
 
+void WebSocketNode::SetIdentified(ConnectionId id) { impl_->SetIdentified(id); }
+
 void WebSocketNode::Close(ConnectionId id) { impl_->Close(id); }
 
 void WebSocketNode::Reset(ConnectionId id) { impl_->Reset(id); }
--- a/src/link/web_socket/web_socket.h
+++ b/src/link/web_socket/web_socket.h
@@ -39,6 +39,9 @@
   void Dial(const std::string& address);
   /// Sends one binary message; dropped if the connection is closed.
   void Send(ConnectionId id, const std::string& bytes);
+  /// Allows large messages from a peer that has dialled, which has shown that
+  /// it is one of ours. Until then the connection may be closed for others.
+  void SetIdentified(ConnectionId id);
   void Close(ConnectionId id);
   /// Resets the connection without a closing handshake; sent data that has not
   /// arrived is lost.
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -111,6 +111,7 @@
     RejectFrame(id, frame.error().message);
     return;
   }
+  if (!frame.value().empty()) sockets_->SetIdentified(id);
   boost::asio::post(control_, [this, id, frame = std::move(frame.value())] {
     HandleFrame(LinkId(id), frame);
   });
