Limit responses of workers and the store

HttpClient buffered header sections, chunk extensions and trailers of responses without a limit and read bodies of up to 64 MiB. A response above its limit counts as no answer. Five kinds of endless responses of up to 100 MB are given up before 20 MB have been sent.

--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -16,7 +16,9 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kMaxIdleConnections = 64;
-constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+/// Bounds the header section and each chunk extension and trailer section,
+/// which are buffered until they are complete.
+constexpr std::size_t kMaxBufferedBytes = 65'536;
 
 struct CallState {
   std::shared_ptr<beast::tcp_stream> stream;
@@ -134,9 +136,9 @@
     co_await http::async_write(
         *stream, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return MakeNoAnswer(error);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferedBytes);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxResponseBytes);
+    parser.body_limit(call.max_response_bytes);
     co_await http::async_read(*stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return MakeNoAnswer(error);
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -21,6 +21,8 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Duration timeout{5000};
+  /// A response with a larger body counts as none.
+  std::size_t max_response_bytes = 64U << 20U;
   /// Opens a connection for this call alone, so that it is never retried after
   /// the connect.
   bool use_new_connection = false;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -88,5 +88,51 @@
   CHECK(outcome.earlier_copy_lost);
 }
 
+/// A server that answers one request with a response without end.
+HttpOutcome CallEndlessServer(const std::string& head, HttpCall call) {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  call.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const std::string piece(100'000, 'x');
+  std::size_t sent = 0;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        tcp::socket socket =
+            co_await acceptor.async_accept(asio::use_awaitable);
+        boost::system::error_code error;
+        co_await asio::async_write(socket, asio::buffer(head),
+                                   asio::use_awaitable);
+        while (!error && sent < 100'000'000) {
+          sent += co_await asio::async_write(
+              socket, asio::buffer(piece),
+              asio::redirect_error(asio::use_awaitable, error));
+        }
+      },
+      asio::detached);
+  HttpClient client(io);
+  HttpOutcome outcome;
+  client.Start(call, [&](HttpOutcome result) { outcome = std::move(result); });
+  io.run();
+  CHECK(sent < 20'000'000);
+  return outcome;
+}
+
+// Guards against a worker or a store that fills the memory of its caller.
+TEST_CASE("HttpClient with a response without end gives the call up") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  HttpCall call;
+  call.max_response_bytes = 1'000'000;
+  for (const std::string& start :
+       {head + "h: ", chunked + "2;e=", chunked + "2\r\n{}\r\n0\r\nt: ",
+        chunked + "7fffffff\r\n", head + "\r\n"}) {
+    const HttpOutcome outcome = CallEndlessServer(start, call);
+    CHECK(outcome.failure == HttpFailure::kNoAnswer);
+    CHECK(outcome.message != "timeout");
+  }
+}
+
 }  // namespace
 }  // namespace geranium
