Limit what untrusted clients may use

HttpServer read into a buffer without a limit, held any number of requests and accepted connections until no descriptor was left. A parsed body could take many times its size, and a body of 500 bytes can name two million tasks. A server now bounds the bytes of a request besides its body (431), the memory of all requests that are being read or handled (413, 503, or the slowest request is closed) and its connections. The keys are on by default at entries and agents; the readiness and metrics servers have small fixed limits. docs/design/untrusted-clients.md has the reasons.

--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -1,5 +1,6 @@
 #include "runtime/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -7,7 +8,12 @@
 #include <cctype>
 #include <cerrno>
 #include <chrono>
+#include <unordered_map>
 #include <utility>
+#include <vector>
+
+#include "runtime/pending_exchange.h"
+#include "runtime/request_reader.h"
 
 namespace geranium {
 namespace {
@@ -53,81 +59,27 @@
 
 // The response to input that is not a valid request.
 HttpResponse ParseErrorResponse(const beast::error_code& error) {
-  const bool too_large = error == http::error::body_limit;
   HttpResponse response;
-  response.status = too_large ? 413 : 400;
+  response.status = 400;
   response.body =
-      std::string(R"({"error":{"code":")") +
-      (too_large ? "too_large" : "malformed") +
-      R"(","step":"read request","peer":"caller","execution":"not_run",)" +
+      std::string(R"({"error":{"code":"malformed",)") +
+      R"("step":"read request","peer":"caller","execution":"not_run",)" +
       R"("message":")" + error.message() + R"("}})" + "\n";
   return response;
 }
 
-class Exchange final : public HttpExchange,
-                       public std::enable_shared_from_this<Exchange> {
- public:
-  Exchange(asio::io_context& io, HttpRequest request)
-      : io_(io), request_(std::move(request)), reply_timer_(io) {
-    reply_timer_.expires_at(asio::steady_timer::time_point::max());
-  }
-
-  const HttpRequest& request() const override { return request_; }
-
-  void Reply(HttpResponse response) override {
-    asio::post(io_, [self = shared_from_this(),
-                     response = std::move(response)]() mutable {
-      if (self->response_) return;
-      self->response_ = std::move(response);
-      self->reply_timer_.cancel();
-    });
-  }
-
-  bool disconnected() const override { return disconnected_; }
-
-  void SetOnDisconnect(std::function<void()> on_disconnect) override {
-    asio::post(io_, [self = shared_from_this(),
-                     on_disconnect = std::move(on_disconnect)]() mutable {
-      self->on_disconnect_ = std::move(on_disconnect);
-      if (self->disconnected_) self->OnDisconnect();
-    });
-  }
-
-  /// Empty if the caller disconnects before the reply.
-  asio::awaitable<std::optional<HttpResponse>> WaitForReply() {
-    while (!response_ && !disconnected_) {
-      beast::error_code ignored;
-      co_await reply_timer_.async_wait(
-          asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    if (response_) on_disconnect_ = nullptr;
-    co_return std::move(response_);
-  }
-
-  void OnDisconnect() {
-    disconnected_ = true;
-    reply_timer_.cancel();
-    if (on_disconnect_ && !response_) std::exchange(on_disconnect_, nullptr)();
-  }
-
- private:
-  asio::io_context& io_;
-  HttpRequest request_;
-  asio::steady_timer reply_timer_;
-  std::optional<HttpResponse> response_;
-  std::function<void()> on_disconnect_;
-  std::atomic<bool> disconnected_ = false;
-};
-
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& io, Handler handler, HalfClose half_close)
+  Impl(asio::io_context& io, Handler handler, HalfClose half_close,
+       const HttpServerLimits& limits)
       : io_(io),
         acceptor_(io),
         handler_(std::move(handler)),
-        half_close_(half_close) {}
+        half_close_(half_close),
+        limits_(limits),
+        table_(limits.max_request_memory_bytes) {}
 
   std::string Listen(const std::string& address) {
     const auto colon = address.rfind(':');
@@ -163,7 +115,13 @@
 
   std::size_t unanswered() const { return unanswered_; }
 
+  void SetOnClientLimit(OnClientLimit on_limit) {
+    on_limit_ = std::move(on_limit);
+  }
+
  private:
+  using Id = ConnectionTable::Id;
+
   static asio::awaitable<void> Accept(std::shared_ptr<Impl> self) {
     asio::steady_timer pause(self->io_);
     while (self->acceptor_.is_open()) {
@@ -172,59 +130,122 @@
           asio::redirect_error(asio::use_awaitable, error));
       if (error) {
         // Most likely no descriptor is free; connections wait in the backlog.
+        if (self->EvictLongestWaiting()) continue;
         pause.expires_after(kAcceptRetryDelay);
         co_await pause.async_wait(
             asio::redirect_error(asio::use_awaitable, error));
         continue;
       }
+      if (!self->MakeRoomForConnection()) {
+        self->Report(ClientLimit::kConnections, socket);
+        continue;
+      }
       socket.set_option(tcp::no_delay(true), error);
       asio::co_spawn(self->io_, Serve(self, std::move(socket)), asio::detached);
     }
   }
 
+  bool MakeRoomForConnection() {
+    const std::size_t bound =
+        BoundConnections(limits_.max_connections, DescriptorLimit());
+    return table_.size() < bound || EvictLongestWaiting();
+  }
+
+  bool EvictLongestWaiting() {
+    const std::optional<Id> evicted = table_.EvictLongestWaiting();
+    if (evicted) Close(*evicted, ClientLimit::kConnections);
+    return evicted.has_value();
+  }
+
+  ConnectionTable::Outcome ReserveMemory(Id id, std::size_t bytes) {
+    std::vector<Id> evicted;
+    const auto outcome = table_.Reserve(id, bytes, evicted);
+    for (const Id victim : evicted) Close(victim, ClientLimit::kEvictedRequest);
+    return outcome;
+  }
+
+  // The coroutine of the connection ends with the error of its read.
+  void Close(Id id, ClientLimit limit) {
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) return;
+    beast::tcp_stream& stream = *found->second;
+    streams_.erase(found);
+    Report(limit, stream.socket());
+    stream.close();
+  }
+
+  void Report(ClientLimit limit, const tcp::socket& socket) {
+    if (!on_limit_) return;
+    beast::error_code error;
+    const auto peer = socket.remote_endpoint(error);
+    on_limit_(limit, error ? "" : peer.address().to_string());
+  }
+
   static asio::awaitable<void> Serve(std::shared_ptr<Impl> self,
                                      tcp::socket socket) {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    const Id id = self->table_.Add();
+    self->streams_[id] = &stream;
+    const Registration registration{*self, id};
+    RequestReader reader(stream, self->limits_, [&](std::size_t bytes) {
+      return self->ReserveMemory(id, bytes);
+    });
     while (true) {
-      http::request_parser<http::string_body> parser;
-      parser.body_limit(kMaxBodyBytes);
       stream.expires_after(kIdleTimeout);
-      beast::error_code error;
-      co_await http::async_read(
-          stream, buffer, parser,
-          asio::redirect_error(asio::use_awaitable, error));
+      RequestReader::Outcome read = co_await reader.Read();
+      if (!self->streams_.contains(id)) break;  // Evicted.
+      if (read.limit) {
+        self->Report(*read.limit, stream.socket());
+        self->table_.SetWaiting(id);
+        co_await Write(stream, ClientLimitResponse(*read.limit), 11, false);
+        break;
+      }
+      const beast::error_code error = read.error;
       const bool connection_ended = error == http::error::end_of_stream ||
                                     error == asio::error::operation_aborted ||
                                     error == asio::error::connection_reset ||
                                     error == beast::error::timeout;
       if (connection_ended) break;
       if (error) {
+        self->table_.SetWaiting(id);
         co_await Write(stream, ParseErrorResponse(error), 11, false);
         break;
       }
       if (HasDisconnected(stream.socket(), self->half_close_)) break;
-      auto message = parser.release();
-      const bool keep_alive = message.keep_alive();
-      const unsigned version = message.version();
+      const bool keep_alive = read.message->keep_alive();
+      const unsigned version = read.message->version();
       ++self->unanswered_;
-      std::optional<HttpResponse> response =
-          co_await Handle(self, stream, ToRequest(std::move(message)));
+      std::optional<HttpResponse> response = co_await Handle(
+          self, id, stream, ToRequest(std::move(*read.message)), read.memory);
       const bool keep_open =
           response && keep_alive && !self->close_after_response_;
       const bool written =
           response &&
           co_await Write(stream, std::move(*response), version, keep_open);
       --self->unanswered_;
+      self->table_.SetWaiting(id);
       if (!written || !keep_open) break;
     }
     co_await CloseGracefully(stream);
   }
 
   static asio::awaitable<std::optional<HttpResponse>> Handle(
-      std::shared_ptr<Impl> self, beast::tcp_stream& stream,
-      HttpRequest request) {
-    auto exchange = std::make_shared<Exchange>(self->io_, std::move(request));
+      std::shared_ptr<Impl> self, Id id, beast::tcp_stream& stream,
+      HttpRequest request, std::size_t memory) {
+    self->table_.SetHandling(id);
+    const std::size_t parsing = EstimateParsingMemory(request.body);
+    const std::size_t handling = EstimateHandlingMemory(request.body);
+    const auto reserved = self->ReserveMemory(id, memory + parsing);
+    if (reserved != ConnectionTable::Outcome::kReserved) {
+      self->Report(ToClientLimit(reserved), stream.socket());
+      co_return ClientLimitResponse(ToClientLimit(reserved));
+    }
+    auto exchange = std::make_shared<PendingExchange>(
+        self->io_, std::move(request),
+        [weak = std::weak_ptr<Impl>(self), id](std::size_t bytes) {
+          const auto impl = weak.lock();
+          return impl ? impl->ReserveMore(id, bytes) : std::nullopt;
+        });
     // While the request is handled, a reset shows as a socket error; a
     // half-close does not.
     stream.expires_never();
@@ -243,12 +264,27 @@
           });
     }
     self->handler_(exchange);
+    self->Release(id, parsing - handling);
     std::optional<HttpResponse> response = co_await exchange->WaitForReply();
     beast::error_code ignored;
     stream.socket().cancel(ignored);
     co_return response;
   }
 
+  std::optional<ClientLimit> ReserveMore(Id id, std::size_t bytes) {
+    const auto reserved = ReserveMemory(id, table_.memory_of(id) + bytes);
+    if (reserved == ConnectionTable::Outcome::kReserved) return std::nullopt;
+    const auto found = streams_.find(id);
+    if (found != streams_.end())
+      Report(ToClientLimit(reserved), found->second->socket());
+    return ToClientLimit(reserved);
+  }
+
+  void Release(Id id, std::size_t bytes) {
+    const std::size_t held = table_.memory_of(id);
+    (void)ReserveMemory(id, held - std::min(held, bytes));
+  }
+
   static asio::awaitable<bool> Write(beast::tcp_stream& stream,
                                      HttpResponse response, unsigned version,
                                      bool keep_open) {
@@ -288,17 +324,36 @@
     stream.close();
   }
 
+  /// Ends with the connection's coroutine, also if that is destroyed.
+  struct Registration {
+    Impl& server;
+    Id id;
+
+    Registration(Impl& impl, Id connection) : server(impl), id(connection) {}
+    ~Registration() {
+      server.table_.Remove(id);
+      server.streams_.erase(id);
+    }
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+  };
+
   asio::io_context& io_;
   tcp::acceptor acceptor_;
   Handler handler_;
   HalfClose half_close_;
+  const HttpServerLimits limits_;
+  ConnectionTable table_;
+  std::unordered_map<Id, beast::tcp_stream*> streams_;
+  OnClientLimit on_limit_;
   bool close_after_response_ = false;
   std::atomic<std::size_t> unanswered_ = 0;
 };
 
 HttpServer::HttpServer(asio::io_context& io, Handler handler,
-                       HalfClose half_close)
-    : impl_(std::make_shared<Impl>(io, std::move(handler), half_close)) {}
+                       HalfClose half_close, HttpServerLimits limits)
+    : impl_(
+          std::make_shared<Impl>(io, std::move(handler), half_close, limits)) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -310,6 +365,10 @@
 
 void HttpServer::CloseAfterResponses() { impl_->CloseAfterResponses(); }
 
+void HttpServer::SetOnClientLimit(OnClientLimit on_limit) {
+  impl_->SetOnClientLimit(std::move(on_limit));
+}
+
 std::size_t HttpServer::unanswered() const { return impl_->unanswered(); }
 
 }  // namespace geranium
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -4,8 +4,10 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "runtime/client_limits.h"
 #include "runtime/http.h"
 
 namespace geranium {
@@ -20,24 +22,27 @@
   virtual void Reply(HttpResponse response) = 0;
   /// True once the caller has disconnected; may be called from any thread.
   virtual bool disconnected() const = 0;
+  /// Reserves memory for handling the request, until the response is written.
+  /// Returns the limit that forbids it. Call on the traffic thread.
+  virtual std::optional<ClientLimit> ReserveMemory(std::size_t bytes) = 0;
   /// `on_disconnect` runs on the traffic thread if the caller resets the
   /// connection before the reply, or half-closes it where that counts.
   virtual void SetOnDisconnect(std::function<void()> on_disconnect) = 0;
 };
 
 /// An HTTP/1.1 server with keep-alive. Requests of one connection are handled
-/// one at a time, so that pipelined requests are answered in order.
+/// one at a time, so that pipelined requests are answered in order. What its
+/// clients may use is limited (docs/design/untrusted-clients.md).
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-  static constexpr std::size_t kMaxBodyBytes = 8U << 20U;
-
   /// What a half-close by the caller means while its request is unanswered.
   enum class HalfClose { kIgnored, kDisconnects };
 
   HttpServer(boost::asio::io_context& io, Handler handler,
-             HalfClose half_close = HalfClose::kIgnored);
+             HalfClose half_close = HalfClose::kIgnored,
+             HttpServerLimits limits = {});
   ~HttpServer();
 
   /// Accepts connections at `ip:port`; returns an error message, or "".
@@ -48,6 +53,8 @@
   void CloseAfterResponses();
   /// Requests whose response has not been written completely.
   std::size_t unanswered() const;
+  /// `on_limit` runs on the traffic thread when a client has met a limit.
+  void SetOnClientLimit(OnClientLimit on_limit);
 
  private:
   class Impl;
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -40,10 +40,16 @@
       http_(loop_.traffic()),
       registration_server_(
           loop_.traffic(),
-          [this](const ExchangePtr& exchange) { OnRegistration(exchange); }),
+          [this](const ExchangePtr& exchange) { OnRegistration(exchange); },
+          HttpServer::HalfClose::kIgnored,
+          ToServerLimits(settings_.client_limits)),
       metrics_(loop_.control(), loop_.traffic(), [this] {
-        return StepAgentMetrics(session_, links_, clock_.Now());
-      }) {}
+        return StepAgentMetrics(session_, links_, client_limits_.counts(),
+                                clock_.Now());
+      }) {
+  registration_server_.SetOnClientLimit(client_limits_.Observe("registration"));
+  metrics_.SetOnClientLimit(client_limits_.Observe("metrics"));
+}
 
 int StepAgentServer::Run() {
   const std::string& registration = settings_.registration_address;
--- a/src/runtime/step_agent_server.h
+++ b/src/runtime/step_agent_server.h
@@ -62,6 +62,8 @@
   ProcessLoop loop_{ProcessLoop::Threads::kShared};
   WorkerSession session_;
   RateLimitedLog log_;
+  ClientLimitMonitor client_limits_{
+      [this](const LogMessage& message) { Perform(message); }};
   PeerLinks links_;
   HttpClient http_;
   HttpServer registration_server_;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -25,6 +25,14 @@
 /// After a longer interval between two checks the process was stalled, and what
 /// callers sent meanwhile may not have been read yet.
 constexpr Duration kMaxLeavingCheckInterval{100};
+/// Memory of a task of an open job.
+constexpr std::size_t kTaskBytes = 256;
+
+std::size_t CountTasks(const StepJob& job) {
+  std::size_t count = 0;
+  for (const StepSpec& step : job.steps) count += step.count;
+  return count;
+}
 
 }  // namespace
 
@@ -46,12 +54,18 @@
       caller_server_(
           loop_.traffic(),
           [this](const ExchangePtr& exchange) { OnRequest(exchange); },
-          HttpServer::HalfClose::kDisconnects),
+          HttpServer::HalfClose::kDisconnects,
+          ToServerLimits(settings_.client_limits)),
       ready_server_(
           loop_.traffic(),
-          [this](const ExchangePtr& exchange) { OnReadyRequest(exchange); }),
+          [this](const ExchangePtr& exchange) { OnReadyRequest(exchange); },
+          HttpServer::HalfClose::kIgnored, SmallServerLimits()),
       metrics_(loop_.control(), loop_.traffic(),
-               [this] { return CollectMetrics(); }) {}
+               [this] { return CollectMetrics(); }) {
+  caller_server_.SetOnClientLimit(client_limits_.Observe("callers"));
+  ready_server_.SetOnClientLimit(client_limits_.Observe("ready"));
+  metrics_.SetOnClientLimit(client_limits_.Observe("metrics"));
+}
 
 int StepEntryServer::Run() {
   const std::string& link_address = settings_.node.link_address;
@@ -116,6 +130,11 @@
     });
     return;
   }
+  if (const auto limit = exchange->ReserveMemory(
+          kTaskBytes * CountTasks(submission.value().job))) {
+    exchange->Reply(ClientLimitResponse(*limit));
+    return;
+  }
   boost::asio::post(
       loop_.control(),
       [this, exchange, submission = std::move(submission.value())]() mutable {
@@ -261,7 +280,8 @@
 }
 
 MetricFamilies StepEntryServer::CollectMetrics() {
-  MetricFamilies families = StepEntryMetrics(node_, links_, clock_.Now());
+  MetricFamilies families =
+      StepEntryMetrics(node_, links_, client_limits_.counts(), clock_.Now());
   for (auto& family : answer_times_.Collect()) {
     families.push_back(std::move(family));
   }
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -69,6 +69,8 @@
   StepEntryNode node_;
   RouteFollower follower_;
   RateLimitedLog log_;
+  ClientLimitMonitor client_limits_{
+      [this](const LogMessage& message) { Perform(message); }};
   PeerLinks links_;
   HttpClient http_;
   HttpServer caller_server_;
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -3,9 +3,33 @@
 #include "runtime/metric_family_builder.h"
 
 namespace geranium {
+namespace {
+
+void AddClientLimits(MetricFamilyBuilder& builder,
+                     const ClientLimitCounts& limits) {
+  for (const auto limit :
+       {ClientLimit::kBody, ClientLimit::kOverhead, ClientLimit::kRequestMemory,
+        ClientLimit::kMemoryShortage}) {
+    builder.Counter("geranium_client_requests_refused_total",
+                    "Requests refused at a limit on clients",
+                    Count(limits[static_cast<int>(limit)]),
+                    {{"limit", Name(limit)}});
+  }
+  for (const auto limit :
+       {ClientLimit::kEvictedRequest, ClientLimit::kConnections}) {
+    builder.Counter("geranium_client_connections_closed_total",
+                    "Connections closed at a limit on clients",
+                    Count(limits[static_cast<int>(limit)]),
+                    {{"limit", Name(limit)}});
+  }
+}
+
+}  // namespace
 
 MetricFamilies StepEntryMetrics(const StepEntryNode& node,
-                                const PeerLinks& links, TimePoint now) {
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits,
+                                TimePoint now) {
   MetricFamilyBuilder builder;
   const StepScheduler& scheduler = node.scheduler();
   const StepCounters& counts = scheduler.counters();
@@ -43,12 +67,15 @@
   builder.Gauge("geranium_route_table_version",
                 "Version of the operator's route table",
                 Count(node.table().version));
+  AddClientLimits(builder, limits);
   AddProcessMetrics(builder, links);
   return builder.Take();
 }
 
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
-                                const PeerLinks& links, TimePoint now) {
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits,
+                                TimePoint now) {
   MetricFamilyBuilder builder;
   const SessionCounters& counts = session.counters();
   builder.Counter("geranium_session_orders_total",
@@ -78,6 +105,7 @@
   builder.Gauge("geranium_session_fresh",
                 "1 if the worker accepts orders, else 0",
                 session.IsAccepting(now) ? 1 : 0);
+  AddClientLimits(builder, limits);
   AddProcessMetrics(builder, links);
   return builder.Take();
 }
--- a/src/runtime/step_metrics.h
+++ b/src/runtime/step_metrics.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "entry/step_entry_node.h"
+#include "runtime/client_limits.h"
 #include "runtime/metrics.h"
 #include "runtime/peer_links.h"
 #include "worker/worker_session.h"
@@ -17,9 +18,11 @@
 
 /// Counters and gauges of a process as metric families (docs/METRICS.md).
 MetricFamilies StepEntryMetrics(const StepEntryNode& node,
-                                const PeerLinks& links, TimePoint now);
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits, TimePoint now);
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
-                                const PeerLinks& links, TimePoint now);
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits, TimePoint now);
 
 /// Histogram of the time from submission to answer, by kind of answer.
 class StepAnswerTimes {
--- a/src/runtime/step_process.cc
+++ b/src/runtime/step_process.cc
@@ -14,14 +14,35 @@
   return true;
 }
 
+HttpServerLimits ToServerLimits(const ClientLimitSettings& settings) {
+  HttpServerLimits limits;
+  limits.max_connections = settings.max_connections;
+  limits.max_request_overhead_bytes = settings.max_request_overhead_bytes;
+  limits.max_request_memory_bytes = settings.max_request_memory_bytes;
+  return limits;
+}
+
+OnClientLimit ClientLimitMonitor::Observe(const std::string& server) {
+  return [this, server](ClientLimit limit, const std::string& peer) {
+    ++counts_[static_cast<int>(limit)];
+    write_(LogMessage{
+        LogLevel::kWarning,
+        "client_limit",
+        {{"server", server}, {"limit", Name(limit)}, {"peer", peer}}});
+  };
+}
+
 MetricsEndpoint::MetricsEndpoint(boost::asio::io_context& control,
                                  boost::asio::io_context& traffic,
                                  Collect collect)
     : control_(control),
       collect_(std::move(collect)),
-      server_(traffic, [this](const std::shared_ptr<HttpExchange>& exchange) {
-        HandleRequest(exchange);
-      }) {}
+      server_(
+          traffic,
+          [this](const std::shared_ptr<HttpExchange>& exchange) {
+            HandleRequest(exchange);
+          },
+          HttpServer::HalfClose::kIgnored, SmallServerLimits()) {}
 
 void MetricsEndpoint::HandleRequest(
     const std::shared_ptr<HttpExchange>& exchange) {
--- a/src/runtime/step_process.h
+++ b/src/runtime/step_process.h
@@ -11,9 +11,11 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log_message.h"
 #include "runtime/http_server.h"
 #include "runtime/logging.h"
 #include "runtime/metrics.h"
+#include "settings/step_settings.h"
 
 // Shared by the entry and agent processes for step jobs.
 
@@ -31,6 +33,25 @@
 /// True if all succeeded; logs the first failure.
 bool CheckListenOutcomes(const std::vector<ListenOutcome>& outcomes);
 
+/// The limits of the server at the callers' or the registration address.
+HttpServerLimits ToServerLimits(const ClientLimitSettings& settings);
+
+/// Counts and logs the limits that clients of the process's servers met.
+class ClientLimitMonitor {
+ public:
+  using Write = std::function<void(const LogMessage&)>;
+
+  explicit ClientLimitMonitor(Write write) : write_(std::move(write)) {}
+
+  /// For the server called `server` in the log.
+  OnClientLimit Observe(const std::string& server);
+  const ClientLimitCounts& counts() const { return counts_; }
+
+ private:
+  Write write_;
+  ClientLimitCounts counts_{};
+};
+
 /// Serves the metrics from `collect`, which is called on the control thread.
 class MetricsEndpoint {
  public:
@@ -43,6 +64,9 @@
   std::string Listen(const std::string& address) {
     return server_.Listen(address);
   }
+  void SetOnClientLimit(OnClientLimit on_limit) {
+    server_.SetOnClientLimit(std::move(on_limit));
+  }
 
  private:
   void HandleRequest(const std::shared_ptr<HttpExchange>& exchange);
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -11,6 +11,15 @@
 
 constexpr double kPercent = 100.0;
 
+/// Below the 2,875 descriptors that the smallest entry has for connections, of
+/// which links and other servers take up to 175.
+constexpr std::int64_t kMaxConnections = 2700;
+/// Clients' header sections are below 8 KiB.
+constexpr std::int64_t kMaxOverheadBytes = 16'384;
+/// A body of 8 MiB takes four times its size while it is parsed. The smallest
+/// machine has 120 MB.
+constexpr std::int64_t kMaxMemoryBytes = 40 << 20;
+
 std::string ReadSharedSections(const IniFile& file,
                                std::vector<std::string>& entries,
                                Result<void>& result) {
@@ -60,6 +69,14 @@
   settings.metrics_address = ReadAddress(entry, "metrics_address");
   settings.grace = Duration(
       entry.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
+  settings.client_limits.max_connections = static_cast<std::size_t>(
+      entry.Integer("max_connections", kMaxConnections, 1, 1'000'000));
+  settings.client_limits.max_request_overhead_bytes =
+      static_cast<std::size_t>(entry.Integer("max_request_overhead_bytes",
+                                             kMaxOverheadBytes, 8192, 1 << 20));
+  settings.client_limits.max_request_memory_bytes =
+      static_cast<std::size_t>(entry.Integer(
+          "max_request_memory_bytes", kMaxMemoryBytes, 1 << 20, 1 << 30));
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
@@ -84,6 +101,14 @@
       "entry_links", static_cast<std::int64_t>(node.entry_links), 1, 1000));
   settings.grace = Duration(
       agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
+  settings.client_limits.max_connections = static_cast<std::size_t>(
+      agent.Integer("max_connections", kMaxConnections, 1, 1'000'000));
+  settings.client_limits.max_request_overhead_bytes =
+      static_cast<std::size_t>(agent.Integer("max_request_overhead_bytes",
+                                             kMaxOverheadBytes, 8192, 1 << 20));
+  settings.client_limits.max_request_memory_bytes =
+      static_cast<std::size_t>(agent.Integer(
+          "max_request_memory_bytes", kMaxMemoryBytes, 1 << 20, 1 << 30));
   BOOST_OUTCOME_TRYV(agent.Finish());
   Result<void> shared = boost::outcome_v2::success();
   (void)ReadSharedSections(file, settings.entry_addresses, shared);
--- a/src/settings/step_settings.h
+++ b/src/settings/step_settings.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_SETTINGS_STEP_SETTINGS_H_
 #define GERANIUM_SETTINGS_STEP_SETTINGS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,14 @@
 /// platform that keeps the operator's log (docs/SETTINGS.md).
 bool HasPlatformSection(const IniFile& file);
 
+/// What clients of the callers' or the registration address may use; the
+/// values are HttpServerLimits'.
+struct ClientLimitSettings {
+  std::size_t max_connections = 0;
+  std::size_t max_request_overhead_bytes = 0;
+  std::size_t max_request_memory_bytes = 0;
+};
+
 /// The settings of `geranium-entry` on a platform.
 struct StepEntrySettings {
   StepEntryOptions node;
@@ -24,6 +33,7 @@
   std::string metrics_address;
   std::string store_address;
   std::vector<std::string> entry_addresses;
+  ClientLimitSettings client_limits;
   Duration grace{6000};  ///< Between SIGTERM and SIGKILL.
 };
 
@@ -34,6 +44,7 @@
   std::string metrics_address;
   std::string worker_address;  ///< Where the worker accepts orders.
   std::vector<std::string> entry_addresses;
+  ClientLimitSettings client_limits;
   Duration grace{6000};
 };
 
--- a/tests/process/flood.cc
+++ b/tests/process/flood.cc
@@ -62,7 +62,8 @@
   const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string last_chunk = chunked + "2\r\n{}\r\n0\r\n";
   const std::string kilobyte(1000, 'x');
-  return {{"trailers, long lines", last_chunk, "t: " + kilobyte + "\r\n"},
+  return {{"body", post + "Content-Length: 24000000\r\n\r\n", kilobyte},
+          {"trailers, long lines", last_chunk, "t: " + kilobyte + "\r\n"},
           {"trailers, short lines", last_chunk, "t: x\r\n"},
           {"trailers, one endless line", last_chunk + "t: ", kilobyte},
           {"endless chunk extension", chunked + "2;e=", kilobyte},
