--- a/src/operator/commands.cc
+++ b/src/operator/commands.cc
@@ -15,7 +15,7 @@
 #include "platform/ingress.h"
 #include "platform/operator_log.h"
 #include "runtime/answers.h"
-#include "runtime/http_server.h"
+#include "runtime/client_limits.h"
 
 namespace geranium {
 namespace {
@@ -147,7 +147,7 @@
   }
   const RouteTableCheck check(
       {static_cast<std::int64_t>(platform::kSmallestJobBody.size()),
-       static_cast<std::int64_t>(HttpServer::kMaxBodyBytes)});
+       static_cast<std::int64_t>(HttpServerLimits::kMaxBodyBytes)});
   const auto findings = check.Run(manifest, in_force ? &*in_force : nullptr);
   for (const RouteFinding& finding : findings) {
     const std::string severity(Name(finding.severity));
--- a/src/runtime/step_metrics.h
+++ b/src/runtime/step_metrics.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "data_centre/route_table_copies.h"
 #include "entry/step_entry_node.h"
+#include "runtime/client_limits.h"
 #include "runtime/metrics.h"
 #include "runtime/peer_links.h"
 #include "worker/worker_session.h"
@@ -18,10 +19,12 @@
 
 /// Counters and gauges of a process as metric families (docs/METRICS.md).
 MetricFamilies StepEntryMetrics(const StepEntryNode& node,
-                                const PeerLinks& links, TimePoint now);
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits, TimePoint now);
 MetricFamilies RouteTableCopyMetrics(const RouteTableCopyCounters& counts);
 MetricFamilies StepAgentMetrics(const WorkerSession& session,
-                                const PeerLinks& links, TimePoint now);
+                                const PeerLinks& links,
+                                const ClientLimitCounts& limits, TimePoint now);
 
 /// Histogram of the time from submission to answer, by kind of answer.
 class StepAnswerTimes {
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -250,7 +250,7 @@
 TEST_CASE(
     "Platform entries all restarted without the operator's log: they serve "
     "with a copy of the route table and follow the log afterwards") {
-  StepSite site({30'600, 3, 2, false, 2});
+  StepSite site({30'600, 3, 2, false, {"entry.route_table_copies=2"}});
   REQUIRE(Eventually([&] { return site.Publish(StepSite::Manifest(3)); }));
   REQUIRE(Eventually([&] { return site.IsReady(); }));
   REQUIRE(Eventually([&] { return CountCopies(site, "written") >= 2; }));
