Tell agents of waiting tasks also after a pass that placed all of them

Cause: while the workers are nearly full, passes that place all tasks alternate with others that do not, and each of the former dropped the entry's holds.

Change: an order says that more tasks wait if the last pass or this one left tasks without room.

--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -38,12 +38,14 @@
     if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) queue_.Erase(job);
   }
-  lacks_room_ = any_lacks_room;
-  if (lacks_room_) SetMoreWaiting(first_action);
+  const bool lacked_room = std::exchange(lacks_room_, any_lacks_room);
+  if (lacked_room || lacks_room_) SetMoreWaiting(first_action);
   late_jobs_.OnPlacingPass(in_time_lacks_room, now);
 }
 
-// Only the end of a pass shows whether tasks are left without room.
+// Only the end of a pass shows whether tasks are left without room. An entry
+// that lacked room in the last pass soon does again: passes that place all
+// tasks alternate with others while the workers are nearly full.
 void StepScheduler::SetMoreWaiting(std::size_t first_action) {
   for (std::size_t i = first_action; i < actions_.size(); ++i) {
     auto* send = std::get_if<SendMessage>(&actions_[i]);
--- a/tests/route_table_check_test.cc
+++ b/tests/route_table_check_test.cc
@@ -7,7 +7,7 @@
 
 #include "platform/ingress.h"
 #include "platform/operator_log.h"
-#include "runtime/http_server.h"
+#include "runtime/client_limits.h"
 
 namespace geranium {
 namespace {
@@ -30,7 +30,7 @@
                                const Json* in_force = nullptr) {
   const RouteTableCheck check(
       {static_cast<std::int64_t>(platform::kSmallestJobBody.size()),
-       static_cast<std::int64_t>(HttpServer::kMaxBodyBytes)});
+       static_cast<std::int64_t>(HttpServerLimits::kMaxBodyBytes)});
   RouteManifest before;
   if (in_force != nullptr) {
     before = platform::ReadRouteManifest(in_force->dump());
