--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -52,6 +52,7 @@
   std::vector<LoadClass> load;
   StepSchedulerOptions scheduler;  ///< Identity fields are set per entry.
   std::size_t entry_links = 4;     ///< Per agent.
+  Duration capacity_hold{0};       ///< Of the agents.
   Duration caller_delay{3};
   Duration link_delay{1};
   Duration resend_delay{1300};  ///< Until a caller sends a lost job again.
--- a/standins/step_simulator_links.cc
+++ b/standins/step_simulator_links.cc
@@ -50,6 +50,7 @@
   options.incarnation = Incarnation(next_incarnation_++);
   options.first_fencing_token = static_cast<std::uint64_t>(now_.ms());
   options.entry_links = options_.entry_links;
+  options.capacity_hold = options_.capacity_hold;
   agent.session = std::make_unique<WorkerSession>(options);
   agent.alive = true;
   ++agent.incarnation;
--- a/tests/soak/process_soak.cc
+++ b/tests/soak/process_soak.cc
@@ -20,12 +20,19 @@
 /// The platform's limit for service to recover after the last fault.
 constexpr Duration kRecoveryLimit{12'000};
 constexpr Duration kStartLimit{15'000};
+/// As deployed: the decisions under load that are off by default.
+const std::vector<std::string> kEntrySettings{
+    "entry.queue_order=latest_start", "entry.refuse_late=true",
+    "entry.speed_placement=true", "entry.locality_wait_percent=100",
+    "entry.route_table_copies=2"};
+const std::vector<std::string> kAgentSettings{"agent.capacity_hold_ms=20"};
 
 class SoakRun {
  public:
   explicit SoakRun(const ProcessSoakOptions& options)
       : options_(options),
-        site_({options.port, options.entries, options.workers, true}),
+        site_({options.port, options.entries, options.workers, true,
+               kEntrySettings, kAgentSettings}),
         faults_(options_, site_, proxy_, events_, report_) {
     RequireEventually(
         [this] {
