--- a/src/entry/locality_wait.cc
+++ b/src/entry/locality_wait.cc
@@ -10,7 +10,7 @@
 /// While other tasks wait, the time that a run takes longer elsewhere is lost
 /// twice: by its own job and by a task that would have had the cores.
 constexpr double kScarceFactor = 2;
-constexpr Duration kShortestRest{1};
+constexpr Duration kMinRemaining{1};
 
 Duration FromMs(double ms) {
   return Duration(
@@ -22,7 +22,7 @@
 /// on average.
 Duration FirstEnd(const RackWorker& worker, const RackQueue& queue) {
   if (worker.next_end > Duration(0)) {
-    return std::max(kShortestRest, worker.next_end - worker.report_age);
+    return std::max(kMinRemaining, worker.next_end - worker.report_age);
   }
   const double runs = worker.cores / std::max(queue.task_cores, 0.01);
   return FromMs(static_cast<double>(queue.mean_estimate.ms()) /
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -167,7 +167,7 @@
 
   // Admission and answers.
 
-  /// Not infinite while there is no worker.
+  /// `capacity_share_`, but above 0 while there is no worker.
   double Cores() const;
   Backlog EstimateBacklog(const OpenStepJob& job) const {
     return queue_.EstimateBacklog(job, jobs_, Cores());
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -22,22 +22,22 @@
   const std::optional<OpenAttempt> closed = attempts_.Close(id);
   if (!closed) return;
   const OpenAttempt& attempt = *closed;
-  KnownWorker* where = workers_.Find(attempt.agent);
-  if (where != nullptr) where->attempts.erase(id);
+  KnownWorker* worker = workers_.Find(attempt.agent);
+  if (worker != nullptr) worker->attempts.erase(id);
   OpenStepJob& job = jobs_.at(attempt.job);
   StepTask& task = job.steps[attempt.step].tasks[attempt.task];
   task.attempt.reset();
   --job.open_attempts;
   if (!job.answered) {
     if (end != AttemptEnd::kDone) {
-      LogReturned(job, attempt, where, end, reason, now);
+      LogReturned(job, attempt, worker, end, reason, now);
     }
     switch (end) {
       case AttemptEnd::kDone:
         OnTaskDone(job, attempt.step, task, now);
         break;
       case AttemptEnd::kFailed:
-        OnTaskFailed(job, attempt.step, task, where, now);
+        OnTaskFailed(job, attempt.step, task, worker, now);
         break;
       case AttemptEnd::kSuperseded:
         task.run += kRunNumberIncrement;
@@ -50,9 +50,9 @@
         break;
       case AttemptEnd::kStopped:
         ++counters_.stopped;
-        if (where != nullptr && where->card &&
+        if (worker != nullptr && worker->card &&
             (reason == "stalled" || reason == "slow")) {
-          task.avoid_worker = where->card->id;
+          task.avoid_worker = worker->card->id;
         }
         RequeueTask(job, attempt.step, task);
         break;
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -254,7 +254,7 @@
   WorkerReport Report(const Peer& peer, TimePoint now) const;
   std::uint32_t CountEntries() const;
   Duration ExpectedNextEnd(const Resources& free, TimePoint now) const;
-  Duration ExpectedRest(const Attempt& attempt, TimePoint now) const;
+  Duration ExpectedRemaining(const Attempt& attempt, TimePoint now) const;
   bool HasCapacity(const Resources& size) const;
   /// False after a poll has shown a restart, until the worker's announcement.
   bool IsAnnouncementCurrent() const;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -20,7 +20,7 @@
 constexpr double kFreeCore = 1;
 /// A run that should have ended is expected to end at any moment; 0 would say
 /// that a core is free.
-constexpr Duration kShortestRest{1};
+constexpr Duration kMinRemaining{1};
 
 }  // namespace
 
@@ -300,7 +300,7 @@
   std::optional<Duration> first;
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.state == State::kQueued) continue;
-    const Duration rest = ExpectedRest(attempt, now);
+    const Duration rest = ExpectedRemaining(attempt, now);
     if (!first || rest < *first) first = rest;
   }
   return first.value_or(Duration(0));
@@ -309,8 +309,8 @@
 // Extrapolated from the moment of the last progress, as polls may be 80 ms
 // apart. Progress lags at the start of a run, which makes the rest too long:
 // other runs end sooner, so the first end is hardly affected.
-Duration WorkerSession::ExpectedRest(const Attempt& attempt,
-                                     TimePoint now) const {
+Duration WorkerSession::ExpectedRemaining(const Attempt& attempt,
+                                          TimePoint now) const {
   Duration whole(static_cast<std::int64_t>(
       static_cast<double>(attempt.order.estimate.ms()) *
       run_statistics_.slowness()));
@@ -318,7 +318,7 @@
     whole =
         (attempt.last_progress_at - attempt.started_at) * 100 / attempt.percent;
   }
-  return std::max(kShortestRest, whole - (now - attempt.started_at));
+  return std::max(kMinRemaining, whole - (now - attempt.started_at));
 }
 
 }  // namespace geranium
