--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <vector>
 
 #include "entry/placement_cost.h"
@@ -12,6 +11,11 @@
 
 constexpr double kEpsilon = 1e-6;
 
+struct SpeedSample {
+  double slowness = 1;
+  std::uint32_t speed_runs = 0;
+};
+
 }  // namespace
 
 // Running urgent tasks use up the reserve.
@@ -103,12 +107,12 @@
 
 void Placement::Update(TimePoint now) {
   if (!options_.by_speed) return;
-  const auto takes_orders = [&](const KnownWorker& worker) {
-    return workers_.TakesOrders(worker, now);
-  };
-  run_times_.Update(workers_.workers() | std::views::values |
-                    std::views::filter(takes_orders) |
-                    std::views::transform(&KnownWorker::report));
+  std::vector<SpeedSample> samples;
+  for (const auto& [agent, worker] : workers_.workers()) {
+    if (!workers_.TakesOrders(worker, now)) continue;
+    samples.push_back({worker.report.slowness, worker.report.speed_runs});
+  }
+  run_times_.Update(samples);
 }
 
 // Steps that follow need the rest of the time until the objective.
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -316,10 +316,10 @@
   for (const JobNumber number : queue_.LateJobs()) {
     const OpenStepJob& job = jobs_.at(number);
     const double core_ms = job.WaitingCoreMs();
-    if (job.may_have_run) {
-      ahead += core_ms;
-    } else if (late_jobs_.CanStartBy(ahead + core_ms,
-                                     job.deadlines.start_deadline, now)) {
+    const bool stays = job.may_have_run ||
+                       late_jobs_.CanStartBy(ahead + core_ms,
+                                             job.deadlines.start_deadline, now);
+    if (stays) {
       ahead += core_ms;
     } else {
       refused.push_back(number);
