Count the memory of a job until its end

Callers saw an entry end while their requests were open: a client that left its jobs early could keep far more memory in use than the limit allows.

The memory that a job takes was reserved for its connection, and was counted as released when the connection ended. The job itself is kept until its last run is known to have ended, up to 1.5 s later if an agent is silent. New jobs took its place in the account in the meantime.

Test: "jobs of callers that left are counted to their end", limit 4 MiB, 16 clients, an agent that is frozen.

--- a/src/contract/step_job.h
+++ b/src/contract/step_job.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/memory_lease.h"
 #include "contract/task.h"
 
 namespace geranium {
@@ -51,6 +52,7 @@
   std::vector<StepSpec> steps;
   bool durable = false;           ///< Must survive the loss of the entry.
   std::uint32_t repetitions = 0;  ///< Scheduled occurrences; 0: runs once.
+  MemoryLease memory;             ///< For the job until its end.
 };
 
 /// How a step job ended.
--- a/src/entry/open_step_job.h
+++ b/src/entry/open_step_job.h
@@ -57,6 +57,9 @@
   double WaitingCoreMs() const;
 };
 
+/// Upper estimate of the memory of a job from its admission to its end.
+std::size_t EstimateMemory(const StepJob& job);
+
 /// The estimated processor time of all tasks.
 double CoreMs(const StepJob& job);
 
--- a/src/runtime/connection_table.cc
+++ b/src/runtime/connection_table.cc
@@ -45,18 +45,11 @@
   if (found == connections_.end()) return Outcome::kShortage;
   if (bytes > max_memory_) return Outcome::kTooLarge;
   Connection& connection = found->second;
-  std::size_t others = memory_ - connection.memory;
-  auto oldest = reading_.begin();
-  while (others + bytes > max_memory_ && oldest != reading_.end()) {
-    const Id victim = oldest->second;
-    ++oldest;
-    if (victim == id) continue;
-    others -= connections_[victim].memory;
-    Remove(victim);
-    evicted.push_back(victim);
+  if (bytes > connection.memory &&
+      !MakeRoom(id, bytes - connection.memory, evicted)) {
+    return Outcome::kShortage;
   }
-  if (others + bytes > max_memory_) return Outcome::kShortage;
-  memory_ = others + bytes;
+  memory_ = memory_ - connection.memory + bytes;
   connection.memory = bytes;
   if (connection.waiting_since != 0 && connection.reading_since == 0) {
     connection.reading_since = next_order_++;
@@ -65,6 +58,27 @@
   return Outcome::kReserved;
 }
 
+ConnectionTable::Outcome ConnectionTable::Lease(Id id, std::size_t bytes,
+                                                std::vector<Id>& evicted) {
+  if (memory_of(id) + bytes > max_memory_) return Outcome::kTooLarge;
+  if (!MakeRoom(id, bytes, evicted)) return Outcome::kShortage;
+  memory_ += bytes;
+  return Outcome::kReserved;
+}
+
+bool ConnectionTable::MakeRoom(Id keeper, std::size_t needed,
+                               std::vector<Id>& evicted) {
+  auto oldest = reading_.begin();
+  while (memory_ + needed > max_memory_ && oldest != reading_.end()) {
+    const Id victim = oldest->second;
+    ++oldest;
+    if (victim == keeper) continue;
+    Remove(victim);
+    evicted.push_back(victim);
+  }
+  return memory_ + needed <= max_memory_;
+}
+
 std::optional<ConnectionTable::Id> ConnectionTable::EvictLongestWaiting() {
   if (waiting_.empty()) return std::nullopt;
   const Id id = waiting_.begin()->second;
--- a/src/runtime/connection_table.h
+++ b/src/runtime/connection_table.h
@@ -36,6 +36,10 @@
   /// requests that have been arriving the longest are added to `evicted` and
   /// removed. Without success its memory is unchanged.
   Outcome Reserve(Id id, std::size_t bytes, std::vector<Id>& evicted);
+  /// Reserves memory that the connection's request takes beyond its response,
+  /// until `EndLease`. Makes room like `Reserve`.
+  Outcome Lease(Id id, std::size_t bytes, std::vector<Id>& evicted);
+  void EndLease(std::size_t bytes) { memory_ -= bytes; }
   /// Removes the connection that has waited for a request the longest.
   std::optional<Id> EvictLongestWaiting();
 
@@ -50,11 +54,14 @@
     std::uint64_t reading_since = 0;  ///< 0 unless a request is arriving.
   };
 
+  /// Removes the requests that have been arriving the longest, but for
+  /// `keeper`, until `needed` bytes are free; false if they do not suffice.
+  bool MakeRoom(Id keeper, std::size_t needed, std::vector<Id>& evicted);
   void EndReading(Connection& connection);
   void EndWaiting(Connection& connection);
 
   std::size_t max_memory_;
-  std::size_t memory_ = 0;
+  std::size_t memory_ = 0;  ///< Of connections and leases.
   Id next_id_ = 1;
   std::uint64_t next_order_ = 1;
   std::unordered_map<Id, Connection> connections_;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -174,6 +174,11 @@
     stream.close();
   }
 
+  void Report(ClientLimit limit, Id id) {
+    const auto found = streams_.find(id);
+    if (found != streams_.end()) Report(limit, found->second->socket());
+  }
+
   void Report(ClientLimit limit, const tcp::socket& socket) {
     if (!on_limit_) return;
     beast::error_code error;
@@ -240,12 +245,18 @@
       self->Report(ToClientLimit(reserved), stream.socket());
       co_return ClientLimitResponse(ToClientLimit(reserved));
     }
+    const std::weak_ptr<Impl> weak = self;
     auto exchange = std::make_shared<PendingExchange>(
         self->io_, std::move(request),
-        [weak = std::weak_ptr<Impl>(self), id](std::size_t bytes) {
-          const auto impl = weak.lock();
-          return impl ? impl->ReserveMore(id, bytes) : std::nullopt;
-        });
+        PendingExchange::Limits{[weak, id](std::size_t bytes) {
+                                  const auto impl = weak.lock();
+                                  return impl ? impl->Lease(id, bytes)
+                                              : MemoryReservation{};
+                                },
+                                [weak, id](ClientLimit limit) {
+                                  if (const auto impl = weak.lock())
+                                    impl->Report(limit, id);
+                                }});
     // While the request is handled, a reset shows as a socket error; a
     // half-close does not.
     stream.expires_never();
@@ -271,13 +282,21 @@
     co_return response;
   }
 
-  std::optional<ClientLimit> ReserveMore(Id id, std::size_t bytes) {
-    const auto reserved = ReserveMemory(id, table_.memory_of(id) + bytes);
-    if (reserved == ConnectionTable::Outcome::kReserved) return std::nullopt;
-    const auto found = streams_.find(id);
-    if (found != streams_.end())
-      Report(ToClientLimit(reserved), found->second->socket());
-    return ToClientLimit(reserved);
+  MemoryReservation Lease(Id id, std::size_t bytes) {
+    std::vector<Id> evicted;
+    const auto outcome = table_.Lease(id, bytes, evicted);
+    for (const Id victim : evicted) Close(victim, ClientLimit::kEvictedRequest);
+    if (outcome != ConnectionTable::Outcome::kReserved) {
+      return {nullptr, ToClientLimit(outcome)};
+    }
+    // Whoever holds it may be on another thread, or outlive the server.
+    const auto end_lease = [weak = weak_from_this(), bytes](const void*) {
+      const auto impl = weak.lock();
+      if (!impl) return;
+      asio::dispatch(impl->io_,
+                     [impl, bytes] { impl->table_.EndLease(bytes); });
+    };
+    return {MemoryLease(this, end_lease), std::nullopt};
   }
 
   void Release(Id id, std::size_t bytes) {
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -7,11 +7,18 @@
 #include <optional>
 #include <string>
 
+#include "base/memory_lease.h"
 #include "runtime/client_limits.h"
 #include "runtime/http.h"
 
 namespace geranium {
 
+/// A lease, or the limit that forbids it.
+struct MemoryReservation {
+  MemoryLease lease;
+  std::optional<ClientLimit> limit;
+};
+
 /// One request and its reply. `Reply` may be called from any thread; only the
 /// first call has an effect.
 class HttpExchange {
@@ -22,9 +29,12 @@
   virtual void Reply(HttpResponse response) = 0;
   /// True once the caller has disconnected; may be called from any thread.
   virtual bool disconnected() const = 0;
-  /// Reserves memory for handling the request, until the response is written.
-  /// Returns the limit that forbids it. Call on the traffic thread.
-  virtual std::optional<ClientLimit> ReserveMemory(std::size_t bytes) = 0;
+  /// Reserves memory for what the request leads to, whether or not its caller
+  /// stays connected. Call on the traffic thread.
+  virtual MemoryReservation ReserveMemory(std::size_t bytes) = 0;
+  /// Replies that the request was not run, and counts the limit that it met.
+  /// Call on the traffic thread.
+  virtual void RefuseAt(ClientLimit limit) = 0;
   /// `on_disconnect` runs on the traffic thread if the caller resets the
   /// connection before the reply, or half-closes it where that counts.
   virtual void SetOnDisconnect(std::function<void()> on_disconnect) = 0;
--- a/src/runtime/pending_exchange.h
+++ b/src/runtime/pending_exchange.h
@@ -18,13 +18,17 @@
     : public HttpExchange,
       public std::enable_shared_from_this<PendingExchange> {
  public:
-  using Reserve = std::function<std::optional<ClientLimit>(std::size_t)>;
+  /// What the server does for the exchange's connection.
+  struct Limits {
+    std::function<MemoryReservation(std::size_t)> reserve;
+    std::function<void(ClientLimit)> report;
+  };
 
   PendingExchange(boost::asio::io_context& io, HttpRequest request,
-                  Reserve reserve)
+                  Limits limits)
       : io_(io),
         request_(std::move(request)),
-        reserve_(std::move(reserve)),
+        limits_(std::move(limits)),
         reply_timer_(io) {
     reply_timer_.expires_at(boost::asio::steady_timer::time_point::max());
   }
@@ -51,8 +55,13 @@
                       });
   }
 
-  std::optional<ClientLimit> ReserveMemory(std::size_t bytes) override {
-    return reserve_(bytes);
+  MemoryReservation ReserveMemory(std::size_t bytes) override {
+    return limits_.reserve(bytes);
+  }
+
+  void RefuseAt(ClientLimit limit) override {
+    limits_.report(limit);
+    Reply(ClientLimitResponse(limit));
   }
 
   /// Empty if the caller disconnects before the reply.
@@ -75,7 +84,7 @@
  private:
   boost::asio::io_context& io_;
   HttpRequest request_;
-  Reserve reserve_;
+  Limits limits_;
   boost::asio::steady_timer reply_timer_;
   std::optional<HttpResponse> response_;
   std::function<void()> on_disconnect_;
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -25,14 +25,6 @@
 /// After a longer interval between two checks the process was stalled, and what
 /// callers sent meanwhile may not have been read yet.
 constexpr Duration kMaxLeavingCheckInterval{100};
-/// Memory of a task of an open job.
-constexpr std::size_t kTaskBytes = 256;
-
-std::size_t CountTasks(const StepJob& job) {
-  std::size_t count = 0;
-  for (const StepSpec& step : job.steps) count += step.count;
-  return count;
-}
 
 }  // namespace
 
@@ -135,11 +127,13 @@
     });
     return;
   }
-  if (const auto limit = exchange->ReserveMemory(
-          kTaskBytes * CountTasks(submission.value().job))) {
-    exchange->Reply(ClientLimitResponse(*limit));
+  StepJob& job = submission.value().job;
+  const MemoryReservation memory = exchange->ReserveMemory(EstimateMemory(job));
+  if (memory.limit) {
+    exchange->RefuseAt(*memory.limit);
     return;
   }
+  job.memory = memory.lease;
   boost::asio::post(
       loop_.control(),
       [this, exchange, submission = std::move(submission.value())]() mutable {
--- a/tests/connection_table_test.cc
+++ b/tests/connection_table_test.cc
@@ -81,5 +81,36 @@
   CHECK(EstimateParsingMemory(R"("[,,\",{{,,")") < 256);
 }
 
+// Guards against a job that goes on, unaccounted, when its caller has left.
+TEST_CASE("ConnectionTable with a lease counts it after its connection's end") {
+  ConnectionTable table(100);
+  std::vector<Id> evicted;
+  const Id caller = table.Add();
+  CHECK(table.Reserve(caller, 10, evicted) == Outcome::kReserved);
+  table.SetHandling(caller);
+  CHECK(table.Lease(caller, 91, evicted) == Outcome::kTooLarge);
+  CHECK(table.Lease(caller, 60, evicted) == Outcome::kReserved);
+  CHECK(table.memory() == 70);
+  table.Remove(caller);
+  CHECK(table.memory() == 60);
+  const Id next = table.Add();
+  CHECK(table.Reserve(next, 50, evicted) == Outcome::kShortage);
+  CHECK(table.Lease(next, 50, evicted) == Outcome::kShortage);
+  table.EndLease(60);
+  CHECK(table.Reserve(next, 50, evicted) == Outcome::kReserved);
+}
+
+TEST_CASE("ConnectionTable asked for a lease evicts requests that arrive") {
+  ConnectionTable table(100);
+  std::vector<Id> evicted;
+  const Id slow = table.Add();
+  CHECK(table.Reserve(slow, 80, evicted) == Outcome::kReserved);
+  const Id caller = table.Add();
+  CHECK(table.Reserve(caller, 10, evicted) == Outcome::kReserved);
+  table.SetHandling(caller);
+  CHECK(table.Lease(caller, 50, evicted) == Outcome::kReserved);
+  CHECK(evicted == std::vector<Id>{slow});
+}
+
 }  // namespace
 }  // namespace geranium
--- /dev/null
+++ b/tests/process/untrusted_job_test.cc
@@ -0,0 +1,156 @@
+// What one accepted request makes the processes keep, copy or send must stay
+// within the memory of the smallest machine, whatever the request asks for.
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "process/crowd.h"
+#include "process/eventually.h"
+#include "process/flood.h"
+#include "process/step_site.h"
+
+namespace geranium::process {
+namespace {
+
+/// The smallest entry has 120 MB, an agent 128 MB.
+constexpr std::size_t kMaxMemory = 96'000'000;
+/// With limits that are set low.
+constexpr std::size_t kMaxLimitedMemory = 32'000'000;
+/// A worker takes 64 connections; an agent uses as many besides at most.
+constexpr std::size_t kMaxAgentDescriptors = 128;
+/// No client that keeps to the platform's interface has a longer `spec`.
+constexpr std::size_t kLegalSpecBytes = 4000;
+
+struct JobShape {
+  int tasks = 1;
+  int milli_cores = 0;
+  std::size_t spec_bytes = 0;  ///< 0: as short as it can be.
+  int work_ms = 1;
+  int max_per_worker = 0;
+};
+
+std::string JobId(int number) {
+  const std::string digits = std::to_string(number);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+std::string Target(int number) { return "/desk/" + JobId(number); }
+
+std::string Body(const JobShape& shape) {
+  using Json = nlohmann::json;
+  Json spec{{"work_ms", shape.work_ms}, {"cpu", 0}, {"pad", ""}};
+  const std::size_t bytes = spec.dump().size();
+  if (bytes < shape.spec_bytes) {
+    spec["pad"] = std::string(shape.spec_bytes - bytes, 'x');
+  }
+  Json step{{"count", shape.tasks}, {"estimated-ms", shape.work_ms}};
+  if (shape.milli_cores > 0) step["cpu"] = shape.milli_cores;
+  if (shape.max_per_worker > 0) step["anti-affinity"] = shape.max_per_worker;
+  return Json{{"spec", spec.dump()},
+              {"best-effort", true},
+              {"steps", {std::move(step)}}}
+      .dump();
+}
+
+/// One agent and a few entries, ready to serve.
+class UntrustedJobsSite : public StepSite {
+ public:
+  explicit UntrustedJobsSite(StepSiteOptions options)
+      : StepSite(std::move(options)) {
+    REQUIRE(Eventually([&] { return Publish(Manifest(3)); }));
+    REQUIRE(Eventually([&] { return IsReady(); }));
+    lost_links_ = CountLostLinks();
+  }
+
+  /// `jobs` on each of `connections` connections, one after the other.
+  void SubmitJobs(int connections, int jobs, const JobShape& shape) {
+    const std::string body = Body(shape);
+    std::vector<Conversation> conversations(connections);
+    for (Conversation& conversation : conversations) {
+      for (int i = 0; i < jobs; ++i) {
+        conversation.push_back(MakeRequest("POST", Target(next_++), body));
+      }
+    }
+    HoldConversations(CallerAddress(0), conversations);
+  }
+
+  /// `jobs` on each of `clients` connections at once; each caller leaves soon.
+  void SubmitAndLeave(int clients, int jobs, const JobShape& shape) {
+    const std::string body = Body(shape);
+    std::vector<Conversation> conversations(clients);
+    for (Conversation& conversation : conversations) {
+      for (int i = 0; i < jobs; ++i) {
+        conversation.push_back(MakeRequest("POST", Target(next_++), body));
+      }
+    }
+    SendAndLeave(CallerAddress(0), conversations);
+  }
+
+  void CheckMemory(const std::string& name, std::size_t limit) {
+    AwaitSteady(processes().Pid(name));
+    REQUIRE_FALSE(processes().HasExited(name));
+    const std::size_t memory = PeakMemory(processes().Pid(name));
+    std::cout << name << ": " << memory / 1'000'000 << " MB\n";
+    CHECK(memory < limit);
+  }
+
+  void CheckServes() const {
+    CHECK(IsReady());
+    CHECK(Submit(0, "00000000000000a1", 20).status == 200);
+  }
+
+  void CheckKeptLinks() const { CHECK(CountLostLinks() == lost_links_); }
+
+ private:
+  int CountLostLinks() const {
+    int count = 0;
+    for (const std::string& name : {EntryName(0), AgentName(0)}) {
+      std::ifstream log(Program("process-test-" +
+                                std::to_string(options().port) + "-" + name +
+                                ".log"));
+      for (std::string line; std::getline(log, line);) {
+        const bool is_lost =
+            line.find("event=entry_link_down") != std::string::npos ||
+            line.find("event=worker_link_down") != std::string::npos;
+        if (is_lost) ++count;
+      }
+    }
+    return count;
+  }
+
+  int next_ = 1;
+  int lost_links_ = 0;
+};
+
+StepSiteOptions SmallSite(int port,
+                          std::vector<std::string> entry_settings = {},
+                          std::vector<std::string> agent_settings = {}) {
+  return {
+      port, 1, 1, false, std::move(entry_settings), std::move(agent_settings)};
+}
+
+// The agent is frozen, so that what its worker runs of these jobs cannot be
+// stopped.
+TEST_CASE(
+    "Untrusted jobs: jobs of callers that left are counted to their end") {
+  UntrustedJobsSite site(
+      SmallSite(25'400, {"entry.max_request_memory_bytes=4194304"}));
+  // An entry that has just started holds its jobs for a while.
+  site.CheckServes();
+  site.processes().Signal("agent-0", SIGSTOP);
+  site.SubmitAndLeave(16, 40,
+                      {.tasks = 1000, .milli_cores = 10, .max_per_worker = 1});
+  site.CheckMemory("entry-0", kMaxLimitedMemory);
+  site.processes().Signal("agent-0", SIGCONT);
+  REQUIRE(Eventually([&] { return site.IsReady(); }));
+  site.CheckServes();
+}
+
+}  // namespace
+}  // namespace geranium::process
