Share a job's payload between its orders and bound it

Callers saw an entry end, and agents lose their links: two jobs of 500 tasks with a payload of 200 KB raised an entry to 1,060 MB.

The payload was copied into each order, so a body cost its size times its tasks in actions, in the codec and in the send queue of a link. A frame above 32 MB then made the agent close the link, so a client could cut links.

Orders share one payload, a frame holds it once and frames are sent at 128 KiB. Payloads above entry.max_payload_bytes are refused with 413, which says that the job was not run. The platform allows 4,000 bytes; the default is 4,096.

Tests: three with large payloads, of which one raises the limit to 64 KiB. A job of 2,000 tasks with 4,000 bytes is served.

--- a/src/contract/step_job.h
+++ b/src/contract/step_job.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/memory_lease.h"
+#include "base/shared_text.h"
 #include "contract/task.h"
 
 namespace geranium {
@@ -48,7 +49,7 @@
 /// A job of steps. Its answer is only how it ended; nothing is persisted.
 struct StepJob {
   StepJobId id;
-  std::string payload;  ///< Passed to every task.
+  SharedText payload;  ///< Passed to every task.
   std::vector<StepSpec> steps;
   bool durable = false;           ///< Must survive the loss of the entry.
   std::uint32_t repetitions = 0;  ///< Scheduled occurrences; 0: runs once.
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/shared_text.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
 #include "contract/task.h"
@@ -66,7 +67,7 @@
   AttemptId attempt;
   TaskRun run;
   std::string route;
-  std::string payload;
+  SharedText payload;  ///< Of the job.
   Resources size;
   int priority = 0;
   Duration estimate;
--- a/src/runtime/client_limits.cc
+++ b/src/runtime/client_limits.cc
@@ -53,6 +53,8 @@
   switch (limit) {
     case ClientLimit::kBody:
       return "body";
+    case ClientLimit::kPayload:
+      return "payload";
     case ClientLimit::kOverhead:
       return "overhead";
     case ClientLimit::kRequestMemory:
@@ -86,6 +88,10 @@
       response.status = 413;
       message = "the request would take too much memory";
       break;
+    case ClientLimit::kPayload:
+      response.status = 413;
+      message = "the job's payload is too large";
+      break;
     default:
       response.status = 413;
       message = "body limit exceeded";
--- a/src/runtime/client_limits.h
+++ b/src/runtime/client_limits.h
@@ -29,13 +29,14 @@
 /// Why a request was refused or a connection closed.
 enum class ClientLimit {
   kBody,            ///< 413
+  kPayload,         ///< 413: of a job.
   kOverhead,        ///< 431
   kRequestMemory,   ///< 413: the request alone exceeds the memory.
   kMemoryShortage,  ///< 503: it does not fit beside others.
   kEvictedRequest,  ///< Closed: its request arrived too slowly.
   kConnections,     ///< Closed: too many connections.
 };
-inline constexpr int kClientLimits = 6;
+inline constexpr int kClientLimits = 7;
 
 /// The name used in logs and metrics.
 const char* Name(ClientLimit limit);
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr Duration kMinDialDelay{50};
+/// A frame is sent once it has this size. Peers accept a first frame of up to
+/// twice as much, and no message but a route table is larger than the rest.
+constexpr std::size_t kMaxFrameBytes = 131'072;
 
 }  // namespace
 
@@ -77,15 +80,20 @@
   for (auto& [link, frame] : outgoing_) {
     boost::asio::post(traffic_,
                       [this, id = link.value(), frame = std::move(frame)] {
-                        const std::string bytes = EncodeFrame(frame);
-                        ++frames_sent_;
-                        bytes_sent_ += bytes.size();
-                        sockets_->Send(id, bytes);
+                        SendFrames(id, frame);
                       });
   }
   outgoing_.clear();
 }
 
+void PeerLinks::SendFrames(std::uint64_t id, const Frame& frame) {
+  for (const std::string& bytes : EncodeFrames(frame, kMaxFrameBytes)) {
+    ++frames_sent_;
+    bytes_sent_ += bytes.size();
+    sockets_->Send(id, bytes);
+  }
+}
+
 void PeerLinks::Stop() {
   boost::asio::post(traffic_, [this] {
     stopping_ = true;
--- a/src/runtime/peer_links.h
+++ b/src/runtime/peer_links.h
@@ -60,6 +60,7 @@
   // On the control thread.
   void HandleFrame(LinkId link, const Frame& frame);
   // On the traffic thread.
+  void SendFrames(std::uint64_t id, const Frame& frame);
   void OnOpen(std::uint64_t id, const std::string& dialled);
   void OnBytes(std::uint64_t id, const std::string& bytes);
   void OnClose(std::uint64_t id);
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -128,6 +128,10 @@
     return;
   }
   StepJob& job = submission.value().job;
+  if (job.payload.size() > settings_.max_payload_bytes) {
+    exchange->RefuseAt(ClientLimit::kPayload);
+    return;
+  }
   const MemoryReservation memory = exchange->ReserveMemory(EstimateMemory(job));
   if (memory.limit) {
     exchange->RefuseAt(*memory.limit);
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -8,8 +8,8 @@
 void AddClientLimits(MetricFamilyBuilder& builder,
                      const ClientLimitCounts& limits) {
   for (const auto limit :
-       {ClientLimit::kBody, ClientLimit::kOverhead, ClientLimit::kRequestMemory,
-        ClientLimit::kMemoryShortage}) {
+       {ClientLimit::kBody, ClientLimit::kPayload, ClientLimit::kOverhead,
+        ClientLimit::kRequestMemory, ClientLimit::kMemoryShortage}) {
     builder.Counter("geranium_client_requests_refused_total",
                     "Requests refused at a limit on clients",
                     Count(limits[static_cast<int>(limit)]),
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -20,6 +20,9 @@
 /// machine has 120 MB.
 constexpr std::int64_t kMaxMemoryBytes = 40 << 20;
 
+/// The platform allows 4,000 bytes.
+constexpr std::int64_t kMaxPayloadBytes = 4096;
+
 std::string ReadSharedSections(const IniFile& file,
                                std::vector<std::string>& entries,
                                Result<void>& result) {
@@ -97,6 +100,8 @@
   settings.client_limits.max_request_memory_bytes =
       static_cast<std::size_t>(entry.Integer(
           "max_request_memory_bytes", kMaxMemoryBytes, 1 << 20, 1 << 30));
+  settings.max_payload_bytes = static_cast<std::size_t>(
+      entry.Integer("max_payload_bytes", kMaxPayloadBytes, 1, 65'536));
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
--- a/src/settings/step_settings.h
+++ b/src/settings/step_settings.h
@@ -35,7 +35,8 @@
   int route_table_copies = 0;  ///< On the store.
   std::vector<std::string> entry_addresses;
   ClientLimitSettings client_limits;
-  Duration grace{6000};  ///< Between SIGTERM and SIGKILL.
+  std::size_t max_payload_bytes = 0;  ///< Of a job.
+  Duration grace{6000};               ///< Between SIGTERM and SIGKILL.
 };
 
 /// The settings of `geranium-agent` on a platform.
--- a/src/worker/worker_calls.h
+++ b/src/worker/worker_calls.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/shared_text.h"
 #include "contract/step_job.h"
 #include "contract/task.h"
 
@@ -30,7 +31,7 @@
 struct StartRun {
   WorkerId worker;
   TaskRun run;
-  std::string payload;
+  SharedText payload;
   std::int64_t lease_until_ms = 0;  ///< On the backend server's clock.
   std::uint64_t fencing_token = 0;
 };
--- a/standins/platform_site.cc
+++ b/standins/platform_site.cc
@@ -179,7 +179,7 @@
     behaviour.size.cpu = spec.is_object() ? spec.value("cpu", 1.0) : 1.0;
     task_behaviours_[run.task] = behaviour;
     const OrderOutcome outcome = endpoint.worker->Start(
-        {self, run, "", body.at("deadline-ms").get<std::int64_t>(),
+        {self, run, SharedText(), body.at("deadline-ms").get<std::int64_t>(),
          fencing_token},
         clock_.Now());
     if (outcome.reply == OrderReply::kAccepted) {
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -135,6 +135,37 @@
       port, 1, 1, false, std::move(entry_settings), std::move(agent_settings)};
 }
 
+TEST_CASE("Untrusted jobs: a large spec of many tasks is not held per task") {
+  UntrustedJobsSite site(SmallSite(25'000));
+  site.SubmitJobs(2, 1,
+                  {.tasks = 500, .milli_cores = 1, .spec_bytes = 200'000});
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckMemory("agent-0", kMaxMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
+TEST_CASE("Untrusted jobs: the largest spec allowed is not held per task") {
+  constexpr int kTasks = 2000;
+  UntrustedJobsSite site(SmallSite(25'100, {"entry.max_payload_bytes=65536"}));
+  site.SubmitJobs(4, 1,
+                  {.tasks = kTasks, .milli_cores = 1, .spec_bytes = 60'000});
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckMemory("agent-0", kMaxMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
+TEST_CASE("Untrusted jobs: many jobs of a large spec stay within an agent") {
+  UntrustedJobsSite site(SmallSite(25'200));
+  site.SubmitJobs(16, 5,
+                  {.tasks = 30, .milli_cores = 1, .spec_bytes = 1'000'000});
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckMemory("agent-0", kMaxMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
 // The agent is frozen, so that what its worker runs of these jobs cannot be
 // stopped.
 TEST_CASE(
@@ -152,5 +183,20 @@
   site.CheckServes();
 }
 
+// In calm, the largest request that keeps to the platform's interface is
+// served.
+TEST_CASE(
+    "Untrusted jobs: a job of the longest spec and many tasks is served") {
+  UntrustedJobsSite site(SmallSite(25'700));
+  const HttpResponse response = site.Send(
+      site.CallerAddress(0), "POST", Target(1),
+      Body({.tasks = 2000, .milli_cores = 10, .spec_bytes = kLegalSpecBytes}));
+  CHECK(response.status == 200);
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckMemory("agent-0", kMaxMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
 }  // namespace
 }  // namespace geranium::process
