Bound the tasks that run at a worker, and the work of a placing pass

Callers saw links lost and processes of 343 MB (entry) and 199 MB (agent) after one job of 100,000 tasks that ask for no cores and no memory.

Such tasks fit any worker in any number, so all were ordered in one pass. A pass also looked at all tasks and steps of each job, and for a limit on tasks per worker at all tasks of the step for each candidate.

A task takes entry.min_task_millicores at least, so a worker's cores bound the tasks at it; the others wait as any task does. A pass looks at 64 waiting steps of a job and 20,000 in all, and sends 1,000 orders; the next one goes on. Jobs keep their waiting steps, the first waiting task of a step, the open attempts of a limited step by agent and the unmet dependencies of a step, so that no scan of the whole job is left in these paths.

--- a/src/entry/open_step_job.cc
+++ b/src/entry/open_step_job.cc
@@ -1,6 +1,7 @@
 #include "entry/open_step_job.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 namespace geranium {
@@ -20,6 +21,60 @@
 
 }  // namespace
 
+void StepProgress::SkipToWaiting() {
+  while (first_waiting < tasks.size() &&
+         tasks[first_waiting].state != StepTaskState::kWaiting) {
+    ++first_waiting;
+  }
+}
+
+void OpenStepJob::AddSteps() {
+  const std::vector<Duration> time_after = TimeAfterSteps(spec);
+  steps.resize(spec.steps.size());
+  for (std::size_t index = 0; index < steps.size(); ++index) {
+    steps[index].tasks.resize(spec.steps[index].count);
+    steps[index].time_after = time_after[index];
+    steps[index].unmet_dependencies = spec.steps[index].dependencies.size();
+    for (const std::size_t earlier : spec.steps[index].dependencies) {
+      steps.at(earlier).dependents.push_back(index);
+    }
+  }
+}
+
+void OpenStepJob::Unblock(std::size_t step) {
+  StepProgress& progress = steps[step];
+  for (StepTask& task : progress.tasks) task.state = StepTaskState::kWaiting;
+  progress.waiting += progress.tasks.size();
+  waiting += progress.tasks.size();
+  waiting_steps.insert(step);
+}
+
+void OpenStepJob::Requeue(std::size_t step, StepTask& task) {
+  StepProgress& progress = steps[step];
+  task.state = StepTaskState::kWaiting;
+  const auto index =
+      static_cast<std::size_t>(std::distance(progress.tasks.data(), &task));
+  progress.first_waiting = std::min(progress.first_waiting, index);
+  ++progress.waiting;
+  ++waiting;
+  waiting_steps.insert(step);
+}
+
+void OpenStepJob::OnDispatched(std::size_t step, StepTask& task) {
+  task.state = StepTaskState::kDispatched;
+  --waiting;
+  if (--steps[step].waiting == 0) waiting_steps.erase(step);
+}
+
+void OpenStepJob::OnTaskDone(std::size_t step, StepTask& task) {
+  StepProgress& progress = steps[step];
+  task.state = StepTaskState::kDone;
+  if (++progress.done < progress.tasks.size()) return;
+  ++steps_done;
+  for (const std::size_t dependent : progress.dependents) {
+    if (--steps[dependent].unmet_dependencies == 0) Unblock(dependent);
+  }
+}
 
 double OpenStepJob::WaitingCoreMs() const {
   double sum = 0;
--- a/src/entry/open_step_job.h
+++ b/src/entry/open_step_job.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/clock.h"
@@ -29,7 +31,15 @@
   std::vector<StepTask> tasks;
   std::size_t waiting = 0;
   std::size_t done = 0;
+  std::size_t first_waiting = 0;  ///< No task before this one is waiting.
+  std::size_t unmet_dependencies = 0;
+  std::vector<std::size_t> dependents;  ///< Steps that depend on it.
+  /// Open attempts by agent, kept if the step limits them.
+  std::map<Incarnation, std::uint32_t> open_at;
   Duration time_after;  ///< Estimated, for the steps that depend on it.
+
+  /// Moves `first_waiting` to the first task that is waiting.
+  void SkipToWaiting();
 };
 
 /// In order of submission.
@@ -44,6 +54,8 @@
   TimePoint submitted;
   JobDeadlines deadlines;
   std::vector<StepProgress> steps;
+  std::set<std::size_t> waiting_steps;  ///< Those with waiting tasks.
+  std::size_t steps_done = 0;
   std::size_t waiting = 0;
   std::size_t open_attempts = 0;  ///< Not known to have ended.
   std::uint64_t orders = 0;
@@ -55,6 +67,18 @@
 
   /// The estimated processor time of the waiting tasks.
   double WaitingCoreMs() const;
+  bool IsDone() const { return steps_done == steps.size(); }
+
+  /// Creates the tasks of all steps, blocked, from `spec`.
+  void AddSteps();
+  /// The tasks of a step whose dependencies are done can run.
+  void Unblock(std::size_t step);
+  /// A task that was dispatched waits again.
+  void Requeue(std::size_t step, StepTask& task);
+  /// A waiting task has been dispatched.
+  void OnDispatched(std::size_t step, StepTask& task);
+  /// Unblocks the steps that waited for the last task of this one.
+  void OnTaskDone(std::size_t step, StepTask& task);
 };
 
 /// Upper estimate of the memory of a job from its admission to its end.
--- a/src/entry/placement.cc
+++ b/src/entry/placement.cc
@@ -36,11 +36,9 @@
 
 std::uint32_t Placement::CountTasksOn(const KnownWorker& worker,
                                       const PlacementRequest& request) {
-  std::uint32_t count = 0;
-  for (const StepTask& task : request.job->steps[request.step].tasks) {
-    if (task.attempt && worker.attempts.contains(*task.attempt)) ++count;
-  }
-  return count;
+  const auto& open_at = request.job->steps[request.step].open_at;
+  const auto found = open_at.find(worker.agent);
+  return found == open_at.end() ? 0 : found->second;
 }
 
 bool Placement::IsOutOfService(const KnownWorker& worker) const {
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -93,15 +93,13 @@
   job.deadlines =
       admission_.DeadlinesOf(CriticalPath(spec), route, caller_timeout, now);
   const std::string unsupported = UnsupportedReason(spec, route);
-  const std::vector<Duration> time_after = TimeAfterSteps(spec);
   bool fits = true;
-  for (const StepSpec& step : spec.steps) {
-    StepProgress& progress = job.steps.emplace_back();
-    progress.tasks.resize(step.count);
-    progress.time_after = time_after[job.steps.size() - 1];
+  for (StepSpec& step : spec.steps) {
+    step.size.cpu = std::max(step.size.cpu, options_.min_task_cpu);
     fits = fits && workers_.FitsAny(step, route.service);
   }
   job.spec = std::move(spec);
+  job.AddSteps();
   const auto [inserted, is_new] = jobs_.emplace(number, std::move(job));
   OpenStepJob& kept = inserted->second;
   by_caller_[caller] = number;
@@ -128,7 +126,9 @@
     if (route.priority == kMostUrgentPriority) {
       urgent_reserve_.OnAdmitted(CoreMs(kept.spec), now);
     }
-    UnblockSteps(kept);
+    for (std::size_t step = 0; step < kept.steps.size(); ++step) {
+      if (kept.steps[step].unmet_dependencies == 0) kept.Unblock(step);
+    }
     if (kept.waiting > 0) queue_.Insert(kept);
   }
   EraseIfDone(number);
@@ -153,25 +153,6 @@
   }
 }
 
-void StepScheduler::UnblockSteps(OpenStepJob& job) {
-  for (std::size_t index = 0; index < job.steps.size(); ++index) {
-    StepProgress& step = job.steps[index];
-    if (step.tasks.empty() || step.tasks[0].state != StepTaskState::kBlocked) {
-      continue;
-    }
-    const auto& dependencies = job.spec.steps[index].dependencies;
-    const bool ready = std::all_of(
-        dependencies.begin(), dependencies.end(), [&](std::size_t earlier) {
-          const StepProgress& other = job.steps.at(earlier);
-          return other.done == other.tasks.size();
-        });
-    if (!ready) continue;
-    for (StepTask& task : step.tasks) task.state = StepTaskState::kWaiting;
-    step.waiting += step.tasks.size();
-    job.waiting += step.tasks.size();
-  }
-}
-
 void StepScheduler::OnCallerGone(CallerHandle caller, TimePoint now) {
   const auto found = by_caller_.find(caller);
   if (found == by_caller_.end()) return;
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -30,6 +30,9 @@
   Incarnation incarnation;
   PlacementOptions placement;
   AdmissionOptions admission;
+  /// A task that asks for less gets so many cores, which bounds the tasks that
+  /// run at one worker.
+  double min_task_cpu = 0.05;
   /// See UrgentReserve; 0 keeps nothing free.
   double urgent_reserve = 1;
   QueueOrder queue_order = QueueOrder::kPriority;
@@ -165,6 +168,15 @@
       std::map<std::tuple<ServiceName, int, std::string, std::string, bool>,
                Resources>;
 
+  /// One pass over the queue.
+  struct PlacingPass {
+    UnplacedSizes unplaced;
+    int steps_left = 0;   ///< That it may still look at.
+    int orders_left = 0;  ///< That it may still send.
+
+    bool is_over() const { return steps_left <= 0 || orders_left <= 0; }
+  };
+
   // Admission and answers.
 
   /// `capacity_share_`, but above 0 while there is no worker.
@@ -189,9 +201,9 @@
 
   // Placing.
 
-  static void UnblockSteps(OpenStepJob& job);
-  /// Returns true if tasks were left without room at any worker.
-  bool PlaceStep(OpenStepJob& job, std::size_t index, UnplacedSizes& unplaced,
+  /// Both return true if tasks were left without room at any worker.
+  bool PlaceJob(OpenStepJob& job, PlacingPass& pass, TimePoint now);
+  bool PlaceStep(OpenStepJob& job, std::size_t index, PlacingPass& pass,
                  PlacementSummary& placed, TimePoint now);
   void SetMoreWaiting(std::size_t first_action);
   Placement::Outcome PlaceTask(OpenStepJob& job, std::size_t step,
@@ -211,7 +223,6 @@
                     const KnownWorker* worker, TimePoint now);
   void OnTaskCrashed(OpenStepJob& job, std::size_t step, StepTask& task,
                      TimePoint now);
-  static void RequeueTask(OpenStepJob& job, std::size_t step, StepTask& task);
 
   // Workers.
 
--- a/src/entry/step_scheduler_crashes.cc
+++ b/src/entry/step_scheduler_crashes.cc
@@ -18,7 +18,7 @@
   if (isolation_.IsGivenUp(job)) {
     Answer(job, StepAnswer::kFailed, Duration(0), kGivenUpReason, now);
   } else {
-    RequeueTask(job, step, task);
+    job.Requeue(step, task);
   }
 }
 
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -16,11 +16,17 @@
 /// About the time until the next task of a full worker ends.
 constexpr Duration kMinQueueWait{20};
 constexpr Duration kMaxQueueWait{250};
+/// One pass must not keep heartbeats from being sent, nor fill the links. What
+/// it leaves is placed in the next one.
+constexpr int kMaxStepsPerPass = 20'000;
+constexpr int kMaxOrdersPerPass = 1000;
+/// A job needs all of its steps, so those after the first that wait can too.
+constexpr int kMaxStepsOfJobPerPass = 64;
 
 }  // namespace
 
 void StepScheduler::PlaceWaitingTasks(TimePoint now) {
-  UnplacedSizes unplaced;
+  PlacingPass pass{{}, kMaxStepsPerPass, kMaxOrdersPerPass};
   const std::size_t first_action = actions_.size();
   bool any_lacks_room = false;
   bool in_time_lacks_room = false;
@@ -28,14 +34,10 @@
   for (const JobNumber number : queue_.Jobs()) {
     OpenStepJob& job = jobs_.at(number);
     if (job.held) continue;
-    PlacementSummary placed;
-    bool lacks_room = false;
-    for (std::size_t s = 0; s < job.steps.size(); ++s) {
-      lacks_room = PlaceStep(job, s, unplaced, placed, now) || lacks_room;
-    }
+    if (pass.is_over()) break;
+    const bool lacks_room = PlaceJob(job, pass, now);
     any_lacks_room = any_lacks_room || lacks_room;
     in_time_lacks_room = in_time_lacks_room || (lacks_room && !job.late);
-    if (!placed.tasks.empty()) LogPlaced(job, placed, now);
     if (job.waiting == 0) queue_.Erase(job);
   }
   const bool lacked_room = std::exchange(lacks_room_, any_lacks_room);
@@ -43,6 +45,21 @@
   late_jobs_.OnPlacingPass(in_time_lacks_room, now);
 }
 
+bool StepScheduler::PlaceJob(OpenStepJob& job, PlacingPass& pass,
+                             TimePoint now) {
+  PlacementSummary placed;
+  bool lacks_room = false;
+  int steps_left = kMaxStepsOfJobPerPass;
+  auto next = job.waiting_steps.begin();
+  while (next != job.waiting_steps.end() && steps_left-- > 0 &&
+         !pass.is_over()) {
+    const std::size_t step = *next++;  // Erased once all its tasks are placed.
+    lacks_room = PlaceStep(job, step, pass, placed, now) || lacks_room;
+  }
+  if (!placed.tasks.empty()) LogPlaced(job, placed, now);
+  return lacks_room;
+}
+
 // Only the end of a pass shows whether tasks are left without room. An entry
 // that lacked room in the last pass soon does again: passes that place all
 // tasks alternate with others while the workers are nearly full.
@@ -59,22 +76,25 @@
 // with a long queue, most tasks need no search. One that waits for a place near
 // its data says nothing about others, which may have less time.
 bool StepScheduler::PlaceStep(OpenStepJob& job, std::size_t index,
-                              UnplacedSizes& unplaced, PlacementSummary& placed,
+                              PlacingPass& pass, PlacementSummary& placed,
                               TimePoint now) {
   StepProgress& step = job.steps[index];
   const StepSpec& spec = job.spec.steps[index];
-  if (step.waiting == 0) return false;
+  --pass.steps_left;
   const std::tuple kind(job.route.service, job.route.priority,
                         spec.required_label, spec.data_rack,
                         isolation_.IsIsolated(job.route));
-  const auto too_large = unplaced.find(kind);
-  if (too_large != unplaced.end() && spec.size.CanFit(too_large->second)) {
+  const auto too_large = pass.unplaced.find(kind);
+  if (too_large != pass.unplaced.end() && spec.size.CanFit(too_large->second)) {
     return true;
   }
-  for (std::size_t t = 0; t < step.tasks.size() && step.waiting > 0; ++t) {
+  step.SkipToWaiting();
+  for (std::size_t t = step.first_waiting;
+       t < step.tasks.size() && step.waiting > 0 && pass.orders_left > 0; ++t) {
     if (step.tasks[t].state != StepTaskState::kWaiting) continue;
     switch (PlaceTask(job, index, t, placed, now)) {
       case Placement::Outcome::kPlaced:
+        --pass.orders_left;
         continue;
       case Placement::Outcome::kWaitsForRack:
         return false;
@@ -82,7 +102,7 @@
         break;
     }
     if (isolation_.CountCrashesAtStart(job, index, t) > 0) continue;
-    if (spec.max_per_worker == 0) unplaced[kind] = spec.size;
+    if (spec.max_per_worker == 0) pass.unplaced[kind] = spec.size;
     return true;
   }
   return false;
@@ -132,10 +152,9 @@
   const AttemptId id =
       attempts_.Open(OpenAttempt{job.number, step, task, worker.agent, now});
   ++target.run;
-  target.state = StepTaskState::kDispatched;
   target.attempt = id;
-  --job.steps[step].waiting;
-  --job.waiting;
+  job.OnDispatched(step, target);
+  if (spec.max_per_worker > 0) ++job.steps[step].open_at[worker.agent];
   ++job.open_attempts;
   ++job.orders;
   job.may_have_run = true;
--- a/src/entry/step_scheduler_workers.cc
+++ b/src/entry/step_scheduler_workers.cc
@@ -28,6 +28,11 @@
   StepTask& task = job.steps[attempt.step].tasks[attempt.task];
   task.attempt.reset();
   --job.open_attempts;
+  StepProgress& progress = job.steps[attempt.step];
+  if (const auto open = progress.open_at.find(attempt.agent);
+      open != progress.open_at.end() && --open->second == 0) {
+    progress.open_at.erase(open);
+  }
   if (!job.answered) {
     if (end != AttemptEnd::kDone) {
       LogReturned(job, attempt, worker, end, reason, now);
@@ -42,11 +47,11 @@
       case AttemptEnd::kSuperseded:
         task.run += kRunNumberIncrement;
         ++counters_.returned;
-        RequeueTask(job, attempt.step, task);
+        job.Requeue(attempt.step, task);
         break;
       case AttemptEnd::kNotStarted:
         ++counters_.returned;
-        RequeueTask(job, attempt.step, task);
+        job.Requeue(attempt.step, task);
         break;
       case AttemptEnd::kStopped:
         ++counters_.stopped;
@@ -54,7 +59,7 @@
             (reason == "stalled" || reason == "slow")) {
           task.avoid_worker = worker->card->id;
         }
-        RequeueTask(job, attempt.step, task);
+        job.Requeue(attempt.step, task);
         break;
       case AttemptEnd::kCrashed:
         OnTaskCrashed(job, attempt.step, task, now);
@@ -87,14 +92,8 @@
 
 void StepScheduler::OnTaskDone(OpenStepJob& job, std::size_t step,
                                StepTask& task, TimePoint now) {
-  task.state = StepTaskState::kDone;
-  StepProgress& state = job.steps[step];
-  if (++state.done < state.tasks.size()) return;
-  UnblockSteps(job);
-  const bool all = std::all_of(
-      job.steps.begin(), job.steps.end(),
-      [](const StepProgress& each) { return each.done == each.tasks.size(); });
-  if (all) Answer(job, StepAnswer::kCompleted, Duration(0), "", now);
+  job.OnTaskDone(step, task);
+  if (job.IsDone()) Answer(job, StepAnswer::kCompleted, Duration(0), "", now);
 }
 
 // A failure at a worker that fails most of its runs says nothing about the
@@ -110,14 +109,7 @@
            "a task failed in each of its allowed attempts", now);
     return;
   }
-  RequeueTask(job, step, task);
-}
-
-void StepScheduler::RequeueTask(OpenStepJob& job, std::size_t step,
-                                StepTask& task) {
-  task.state = StepTaskState::kWaiting;
-  ++job.steps[step].waiting;
-  ++job.waiting;
+  job.Requeue(step, task);
 }
 
 void StepScheduler::Answer(OpenStepJob& job, StepAnswer answer,
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -22,6 +22,7 @@
 
 /// The platform allows 4,000 bytes.
 constexpr std::int64_t kMaxPayloadBytes = 4096;
+constexpr double kMilliCores = 1000.0;
 
 std::string ReadSharedSections(const IniFile& file,
                                std::vector<std::string>& entries,
@@ -102,6 +103,9 @@
           "max_request_memory_bytes", kMaxMemoryBytes, 1 << 20, 1 << 30));
   settings.max_payload_bytes = static_cast<std::size_t>(
       entry.Integer("max_payload_bytes", kMaxPayloadBytes, 1, 65'536));
+  node.scheduler.min_task_cpu =
+      static_cast<double>(entry.Integer("min_task_millicores", 50, 1, 1000)) /
+      kMilliCores;
   BOOST_OUTCOME_TRYV(entry.Finish());
   Result<void> shared = boost::outcome_v2::success();
   settings.store_address =
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -166,6 +166,15 @@
   site.CheckKeptLinks();
 }
 
+TEST_CASE("Untrusted jobs: tasks that ask for nothing stay within memory") {
+  UntrustedJobsSite site(SmallSite(25'300));
+  site.SubmitJobs(1, 1, {.tasks = 100'000});
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckMemory("agent-0", kMaxMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
 // The agent is frozen, so that what its worker runs of these jobs cannot be
 // stopped.
 TEST_CASE(
