Bound an agent's calls to its worker and the memory of its orders

A job of 1,000 tasks of a thousandth of a core raised an agent to 1,024 descriptors, and with more such jobs whose callers left to 5,854. An agent has 4,096; without a free one it can neither renew the lease nor reach an entry.

Each start and stop has a connection of its own until it is answered, and nothing bounded how many of them were open, nor how many polls were sent for orders in doubt.

At most agent.max_order_calls starts and stops are unanswered; a quarter is kept for stops, which free capacity. Further starts stay queued and further stops are sent as calls are answered. Three polls at most are sent beside the long one.

Orders beyond agent.max_order_bytes are returned as not started, and from three quarters on the agent reports that it takes none, so that entries place them elsewhere or later. A payload is kept until its start is sent.

--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -122,6 +122,9 @@
   builder.Counter(ends, help, Count(counts.failed), {{"end", "failed"}});
   builder.Counter("geranium_session_returned_total",
                   "Orders returned without a start", Count(counts.returned));
+  builder.Counter("geranium_session_returned_for_memory_total",
+                  "Orders returned for want of memory",
+                  Count(counts.returned_for_memory));
   builder.Counter("geranium_session_in_doubt_total",
                   "Starts without a reply from the worker",
                   Count(counts.in_doubt));
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -128,6 +128,12 @@
   node.longest_lease = ReadMs(agent, "longest_lease_ms", node.longest_lease);
   node.entry_links = static_cast<std::size_t>(agent.Integer(
       "entry_links", static_cast<std::int64_t>(node.entry_links), 1, 1000));
+  node.max_order_calls = static_cast<std::size_t>(
+      agent.Integer("max_order_calls",
+                    static_cast<std::int64_t>(node.max_order_calls), 4, 1000));
+  node.max_order_bytes = static_cast<std::size_t>(agent.Integer(
+      "max_order_bytes", static_cast<std::int64_t>(node.max_order_bytes),
+      1 << 20, 1 << 30));
   node.capacity_hold = Duration(agent.Integer("capacity_hold_ms", 0, 0, 1000));
   settings.grace = Duration(
       agent.Integer("grace_s", settings.grace.ms() / 1000, 1, 3600) * 1000);
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -32,6 +32,10 @@
   /// Cores freed by a run of an entry with waiting tasks are reported to this
   /// entry only for so long (docs/design/capacity-hold.md); 0: to all at once.
   Duration capacity_hold{0};
+  /// Calls to the worker to start or stop a run that may be unanswered at once.
+  std::size_t max_order_calls = 60;
+  /// Memory of all orders, by an upper estimate. Beyond it none is accepted.
+  std::size_t max_order_bytes = 32U << 20U;
 };
 
 /// Side effects that WorkerSession requests from its host process.
@@ -47,6 +51,8 @@
   std::uint64_t done = 0;
   std::uint64_t failed = 0;
   std::uint64_t returned = 0;  ///< Orders returned without a start.
+  /// Of these, for want of memory.
+  std::uint64_t returned_for_memory = 0;
   std::uint64_t in_doubt = 0;
   std::uint64_t stalled = 0;
   std::uint64_t moved = 0;    ///< Stopped in order to run on a faster worker.
@@ -161,6 +167,7 @@
     bool suspect = false;  ///< ... shortly after it had started.
     TimePoint next_stop = TimePoint::Never();  ///< When to resend the stop.
     std::string stop_reason;
+    std::size_t memory = 0;  ///< Its part of `order_memory_`.
   };
 
   struct Peer {
@@ -186,6 +193,22 @@
     std::map<AttemptId, TaskEnd> unacknowledged;
   };
 
+  static std::size_t EstimateMemory(const StartTask& order);
+  bool HasMemoryFor(const StartTask& order) const {
+    return order_memory_ + EstimateMemory(order) <= options_.max_order_bytes;
+  }
+  bool IsMemoryFull() const {
+    return order_memory_ >= options_.max_order_bytes / 4 * 3;
+  }
+  /// Some calls are left to stops, which free capacity.
+  bool MayCallToStart() const {
+    return open_calls_ <
+           options_.max_order_calls - options_.max_order_calls / 4;
+  }
+  bool MayCallToStop() const { return open_calls_ < options_.max_order_calls; }
+  void CallToStop(const TaskRun& run);
+  void OnCallEnded(TimePoint now);
+
   void On(LinkId link, const Hello& hello, TimePoint now);
   void On(LinkId link, const Members& members, TimePoint now);
   void On(LinkId link, const Heartbeat& heartbeat, TimePoint now);
@@ -306,6 +329,9 @@
   std::set<std::string> dialled_entries_;  ///< Dialled and not released.
   TimePoint next_selection_;
   Resources in_use_;
+  std::size_t order_memory_ = 0;
+  std::size_t open_calls_ = 0;   ///< Starts and stops that are unanswered.
+  bool starts_delayed_ = false;  ///< For want of calls.
   RunStatistics run_statistics_;
   CapacityHold hold_;
   TimePoint next_heartbeat_;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -266,7 +266,8 @@
 
 WorkerReport WorkerSession::Report(const Peer& peer, TimePoint now) const {
   WorkerReport report;
-  report.accepting = IsAccepting(now) && !peer.releasing_since;
+  report.accepting =
+      IsAccepting(now) && !peer.releasing_since && !IsMemoryFull();
   report.entries = CountEntries();
   if (worker_) {
     report.free = worker_->capacity;
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -9,9 +9,18 @@
 /// Tolerance for rounding in sums of CPU shares.
 constexpr double kCpuEpsilon = 1e-6;
 constexpr int kDonePercent = 100;
+constexpr char kNoMemory[] = "the agent has no memory for another order";
+/// Memory of an order besides its payload, in all tables.
+constexpr std::size_t kOrderBytes = 2048;
+/// A stop for which no call is left is sent after this long.
+constexpr Duration kStopDelay{2};
 
 }  // namespace
 
+std::size_t WorkerSession::EstimateMemory(const StartTask& order) {
+  return kOrderBytes + order.payload.size();
+}
+
 bool WorkerSession::IsAlive(const Entry& entry, TimePoint now) const {
   return entry.linked && now - entry.last_alive_at <= kLongestSilenceAtStart;
 }
@@ -49,6 +58,7 @@
     return "another run of the task is already here";
   if (!worker_->capacity.CanFit(order.size))
     return "the task exceeds the worker's capacity";
+  if (!HasMemoryFor(order)) return kNoMemory;
   return "";
 }
 
@@ -65,12 +75,15 @@
   const std::string refusal = RefusalReason(peer, entries_[entry], order, now);
   if (!refusal.empty()) {
     ++counters_.returned;
+    if (refusal == kNoMemory) ++counters_.returned_for_memory;
     SendTaskEnd(entry,
                 TaskEnd{order.attempt, AttemptEnd::kNotStarted, refusal});
     return;
   }
   Attempt& attempt = attempts_[order.attempt];
   attempt.order = order;
+  attempt.memory = EstimateMemory(order);
+  order_memory_ += attempt.memory;
   attempt.entry = entry;
   attempt.received_at = now;
   attempt.started_at = now;
@@ -102,9 +115,10 @@
            std::pair(b->order.priority, b->state_since);
   });
   for (Attempt* attempt : queue) {
-    if (!IsExpired(*attempt, now) && HasCapacity(attempt->order.size)) {
-      Start(*attempt, now);
-    }
+    if (IsExpired(*attempt, now) || !HasCapacity(attempt->order.size)) continue;
+    starts_delayed_ = !MayCallToStart();
+    if (starts_delayed_) return;
+    Start(*attempt, now);
   }
 }
 
@@ -118,13 +132,18 @@
   attempt.worker_started_ms = started_ms_;
   lease_end_ = std::max(lease_end_, now + kLeaseDuration);
   ++counters_.starts;
-  actions_.emplace_back(StartRun{worker_->id, attempt.order.run,
-                                 attempt.order.payload, LeaseUntil(now),
-                                 fencing_token_});
+  ++open_calls_;
+  // A start is sent once, so the payload is not needed any more.
+  const SharedText payload = std::exchange(attempt.order.payload, {});
+  attempt.memory -= payload.size();
+  order_memory_ -= payload.size();
+  actions_.emplace_back(StartRun{worker_->id, attempt.order.run, payload,
+                                 LeaseUntil(now), fencing_token_});
 }
 
 void WorkerSession::OnStartEnded(const TaskRun& run,
                                  const OrderOutcome& outcome, TimePoint now) {
+  OnCallEnded(now);
   Attempt* attempt = FindByRun(run);
   // Else it may be the clock of an earlier incarnation.
   const bool is_current =
@@ -231,13 +250,27 @@
 }
 
 void WorkerSession::SendStop(Attempt& attempt, TimePoint now) {
+  if (!MayCallToStop()) {
+    attempt.next_stop = now + kStopDelay;
+    return;
+  }
   attempt.next_stop = now + kStopRetryInterval;
-  actions_.emplace_back(
-      StopRun{worker_->id, attempt.order.run, fencing_token_});
+  CallToStop(attempt.order.run);
+}
+
+void WorkerSession::CallToStop(const TaskRun& run) {
+  ++open_calls_;
+  actions_.emplace_back(StopRun{worker_->id, run, fencing_token_});
+}
+
+void WorkerSession::OnCallEnded(TimePoint now) {
+  if (open_calls_ > 0) --open_calls_;
+  if (std::exchange(starts_delayed_, false)) StartQueued(now);
 }
 
 void WorkerSession::OnStopEnded(const TaskRun& run, const OrderOutcome& outcome,
                                 TimePoint now) {
+  OnCallEnded(now);
   Attempt* attempt = FindByRun(run);
   if (attempt == nullptr || attempt->state != State::kStopping) return;
   if (outcome.reply == OrderReply::kAccepted) {
@@ -277,6 +310,7 @@
        {"ran_ms", std::to_string((now - attempt.started_at).ms())},
        {"percent", std::to_string(done ? kDonePercent : attempt.percent)},
        {"slowness", std::to_string(run_statistics_.slowness())}});
+  order_memory_ -= attempt.memory;
   const Incarnation entry = attempt.entry;
   // Cores are not held for a silent entry, which orders nothing.
   if (attempt.has_run && IsAlive(entries_[entry], now) &&
--- a/src/worker/worker_session_polls.cc
+++ b/src/worker/worker_session_polls.cc
@@ -37,6 +37,9 @@
 /// Clock drift allowance: a lease may last longer on the server's clock.
 constexpr std::int64_t kClockDriftPercent = 2;
 constexpr Duration kLeaseMargin{30};
+/// Polls beside the long one that may be unanswered at once; their calls and
+/// those of orders together are as many as a worker takes.
+constexpr std::ptrdiff_t kMaxImmediatePolls = 3;
 /// Well above the time until an unanswered poll is given up.
 constexpr Duration kEndedRunRetention{1000};
 
@@ -76,8 +79,12 @@
 }
 
 // Polls without waiting, beside the long poll, which may be answered only after
-// its wait.
+// its wait. While many orders are in doubt, its wait is short.
 void WorkerSession::SendImmediatePoll(TimePoint now) {
+  const auto open =
+      std::count_if(open_polls_.begin(), open_polls_.end(),
+                    [](const auto& item) { return item.second.is_immediate; });
+  if (open >= kMaxImmediatePolls) return;
   SendPoll(PollRuns{}, now);
   open_polls_.rbegin()->second.is_immediate = true;
 }
@@ -250,8 +257,9 @@
            {"run", std::to_string(listed.run.run)}});
     }
     if (now - found->second <= kStopRetryInterval) continue;
+    if (!MayCallToStop()) continue;
     found->second = now;
-    actions_.emplace_back(StopRun{worker_->id, listed.run, fencing_token_});
+    CallToStop(listed.run);
   }
   std::erase_if(unknown_runs_, [&](const auto& unknown) {
     return !seen.contains(unknown.first);
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -192,6 +192,18 @@
   site.CheckServes();
 }
 
+TEST_CASE("Untrusted jobs: an agent's descriptors stay below the worker's") {
+  UntrustedJobsSite site(SmallSite(25'500));
+  const DescriptorWatch watch(site.processes().Pid("agent-0"));
+  site.SubmitJobs(1, 1, {.tasks = 1000, .milli_cores = 1, .work_ms = 300});
+  site.SubmitAndLeave(4, 5, {.tasks = 1000, .milli_cores = 1, .work_ms = 300});
+  AwaitSteady(site.processes().Pid("agent-0"));
+  std::cout << "agent-0: " << watch.highest() << " descriptors\n";
+  CHECK(watch.highest() < kMaxAgentDescriptors);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
 // In calm, the largest request that keeps to the platform's interface is
 // served.
 TEST_CASE(
