Remember each known job once, and a bounded number of them

Callers saw an entry grow while one id was deleted again and again: 51 MB after 200,000 DELETEs, which were also sent on to every entry.

Each call added an item to the table of expiry times, which was removed 10 or 120 s later. Ever new ids had no bound at all.

The expiry now belongs to the job. What the others have been told is not told again; it is sent to entries that are linked later, as before. Known and cancelled jobs are two tables with entry.max_known_jobs each; beyond it what was kept the longest ago is forgotten first and counted. A job that any entry has open is announced every 2.5 s, so jobs that have ended are the first to go. DELETE of a forgotten job is answered 410, and a copy of its request is taken for a new one, as both are after its time today.

Lists of jobs are sent 1,000 at a time, so that a first frame is never above the limit for peers that are not identified yet.

DELETE of a cancelled job is answered 200 as before.

--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -14,11 +14,11 @@
 bool StepEntryNode::BeginHandover(const StepJobId& job, TimePoint now) {
   Handover handover;
   handover.is_query_due = HasMissedAnnouncements(now);
-  handover.is_first = !known_jobs_.contains(job);
-  if (!handover.is_first) {
-    KnownJob& known = known_jobs_.at(job);
-    known.successor.reset();
-    handover.others = known.holders;
+  KnownJob* known = known_jobs_.Find(job);
+  handover.is_first = known == nullptr;
+  if (known != nullptr) {
+    known->successor.reset();
+    handover.others = known->holders;
   }
   if (scheduler_.MayHaveRuns(job)) {
     // Resubmitted while an earlier submission is still in progress here.
@@ -67,16 +67,15 @@
   entry_heard_.try_emplace(entry, now);
   std::erase(handover.others, entry);
   handover.others.push_back(entry);
-  std::vector<Incarnation>& known = KeepKnownJob(job, now).holders;
+  std::vector<Incarnation>& known = known_jobs_.Keep(job, now).holders;
   std::erase(known, entry);
   known.push_back(entry);
 }
 
 void StepEntryNode::ContinueHandover(const StepJobId& job, TimePoint now) {
   Handover handover = handovers_.at(job);
-  const auto known = known_jobs_.find(job);
-  if (known != known_jobs_.end()) {
-    std::erase(known->second.holders, *handover.from);
+  if (KnownJob* known = known_jobs_.Find(job)) {
+    std::erase(known->holders, *handover.from);
   }
   if (AskNextHolder(job, handover, now)) return;
   if (handover.is_query_due) {
@@ -97,7 +96,8 @@
     return;
   }
   // It has been told that this one has the job, and is about to ask for it.
-  if (known_jobs_.at(job).querier == entry) return;
+  KnownJob& known = known_jobs_.Keep(job, now);
+  if (known.querier == entry) return;
   const auto own = handovers_.find(job);
   if (own != handovers_.end()) {
     if (own->second.from == entry) return;
@@ -110,7 +110,7 @@
   } else if (scheduler_.HasUnansweredJob(job)) {
     // That one gives the job up, but its runs take a while to stop.
     scheduler_.Hold(job);
-    known_jobs_.at(job).successor.reset();
+    known.successor.reset();
     Handover handover;
     handover.others = {entry};
     AskNextHolder(job, std::move(handover), now);
@@ -122,9 +122,8 @@
     const StepJobId& job) const {
   const auto requester = handover_requesters_.find(job);
   if (requester != handover_requesters_.end()) return requester->second.entry;
-  const auto known = known_jobs_.find(job);
-  if (known == known_jobs_.end()) return std::nullopt;
-  return known->second.successor;
+  const KnownJob* known = known_jobs_.Find(job);
+  return known == nullptr ? std::nullopt : known->successor;
 }
 
 // A job is handed over to one entry only: a caller that loses two connections
@@ -150,10 +149,7 @@
   // Of two entries that wait for each other, one gives the job up.
   if (is_mutual && requester < options_.incarnation) return;
   handover_requesters_[request.job] = HandoverRequester{requester, link};
-  if (const auto known = known_jobs_.find(request.job);
-      known != known_jobs_.end()) {
-    known->second.querier.reset();
-  }
+  if (KnownJob* known = known_jobs_.Find(request.job)) known->querier.reset();
   scheduler_.Relinquish(request.job, now);
   Log(LogLevel::kInfo, "job_handover_asked",
       {{"job", request.job.value()}, {"by", ToString(requester)}});
@@ -189,7 +185,7 @@
   handover->requested_at = now;
   // Else it is asked again, and told that the other one waits no longer.
   if (!handover->released.contains(moved.entry)) {
-    std::erase(KeepKnownJob(moved.job, now).holders, *handover->from);
+    std::erase(known_jobs_.Keep(moved.job, now).holders, *handover->from);
     AddHolder(moved.job, *handover, moved.entry, now);
     std::erase(handover->others, moved.entry);
     handover->from = moved.entry;
@@ -272,7 +268,7 @@
   if (found == handover_requesters_.end()) return;
   const HandoverRequester requester = found->second;
   handover_requesters_.erase(found);
-  KnownJob& known = KeepKnownJob(job, now);
+  KnownJob& known = known_jobs_.Keep(job, now);
   std::erase(known.holders, requester.entry);
   JobHandedOver handed{job, known.holders};
   if (const auto own = handovers_.find(job); own != handovers_.end()) {
--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "entry/step_entry_node.h"
@@ -6,6 +7,12 @@
 // own.
 
 namespace geranium {
+namespace {
+
+/// Jobs listed by one message, so that all frames are small.
+constexpr std::size_t kMaxListedJobs = 1000;
+
+}  // namespace
 
 void StepEntryNode::On(LinkId link, const JobsAccepted& accepted,
                        TimePoint now) {
@@ -13,38 +20,34 @@
   if (!peer.hello) return;
   const Incarnation entry = peer.hello->incarnation;
   for (const StepJobId& job : accepted.jobs) {
-    std::vector<Incarnation>& holders = KeepKnownJob(job, now).holders;
+    std::vector<Incarnation>& holders = known_jobs_.Keep(job, now).holders;
     std::erase(holders, entry);
     holders.push_back(entry);
     OnOtherHolder(job, entry, now);
   }
 }
 
-StepEntryNode::KnownJob& StepEntryNode::KeepKnownJob(const StepJobId& job,
-                                                     TimePoint now) {
-  KnownJob& known = known_jobs_[job];
-  known.updated_at = now;
-  known_job_expiry_.emplace(now + kKnownJobRetention, job);
-  return known;
+template <class Jobs>
+void StepEntryNode::SendJobs(LinkId link, const std::vector<StepJobId>& jobs) {
+  for (std::size_t first = 0; first < jobs.size(); first += kMaxListedJobs) {
+    const auto begin = jobs.begin() + static_cast<std::ptrdiff_t>(first);
+    const std::size_t count = std::min(kMaxListedJobs, jobs.size() - first);
+    Send(link, Jobs{{begin, begin + static_cast<std::ptrdiff_t>(count)}});
+  }
 }
 
-void StepEntryNode::ForgetExpiredJobs(TimePoint now) {
-  while (!known_job_expiry_.empty() &&
-         known_job_expiry_.begin()->first <= now) {
-    const StepJobId job = known_job_expiry_.begin()->second;
-    known_job_expiry_.erase(known_job_expiry_.begin());
-    const auto found = known_jobs_.find(job);
-    if (found == known_jobs_.end()) continue;
-    const Duration retention =
-        found->second.cancelled ? kCancelledJobRetention : kKnownJobRetention;
-    if (now - found->second.updated_at >= retention) known_jobs_.erase(found);
-  }
+// A new process knows of no cancellation, and one that was cut off has missed
+// some.
+void StepEntryNode::SendCancelledJobs(LinkId link) {
+  std::vector<StepJobId> jobs;
+  cancelled_jobs_.ForEach(
+      [&](const StepJobId& job, const CancelledJob&) { jobs.push_back(job); });
+  SendJobs<JobsCancelled>(link, jobs);
 }
 
 // Announcements may have been lost with an earlier link.
 void StepEntryNode::SendOpenJobs(LinkId link, TimePoint now) {
-  JobsAccepted accepted{scheduler_.OpenJobs(now)};
-  if (!accepted.jobs.empty()) Send(link, std::move(accepted));
+  SendJobs<JobsAccepted>(link, scheduler_.OpenJobs(now));
 }
 
 // The others forget an announced job after a while, in which most jobs end.
@@ -60,8 +63,10 @@
   if (unannounced_.empty()) return;
   next_announcement_ = now + kAnnouncementSpacing *
                                  static_cast<std::int64_t>(entry_links_.size());
-  const JobsAccepted accepted{std::exchange(unannounced_, {})};
-  for (const auto& [entry, link] : entry_links_) Send(link, accepted);
+  const std::vector<StepJobId> jobs = std::exchange(unannounced_, {});
+  for (const auto& [entry, link] : entry_links_) {
+    SendJobs<JobsAccepted>(link, jobs);
+  }
 }
 
 // Agents have stopped the runs of these jobs. Their callers may have sent them
@@ -84,9 +89,8 @@
   if (IsStarting(last_active)) BeginStart(now);
   standstill_end_ = now;
   for (const auto& [entry, link] : entry_links_) unread_entries_.insert(entry);
-  std::vector<StepJobId> known;
-  for (const auto& [job, state] : known_jobs_) known.push_back(job);
-  for (const StepJobId& job : known) KeepKnownJob(job, now);
+  known_jobs_.KeepAll(now);
+  cancelled_jobs_.KeepAll(now);
   RestartQueries(now);
   Log(LogLevel::kWarning, "stood_still",
       {{"standstill_ms", std::to_string((now - last_active).ms())},
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -27,7 +27,10 @@
 }  // namespace
 
 StepEntryNode::StepEntryNode(StepEntryOptions options)
-    : options_(std::move(options)), scheduler_(options_.scheduler) {
+    : options_(std::move(options)),
+      scheduler_(options_.scheduler),
+      known_jobs_(kKnownJobRetention, options_.max_known_jobs),
+      cancelled_jobs_(kCancelledJobRetention, options_.max_known_jobs) {
   scheduler_.SetRouteTable(&table_);
   entry_addresses_.insert(options_.link_address);
 }
@@ -48,7 +51,8 @@
     actions_.emplace_back(
         AnswerStepJob{caller, answer, kRetryAfterStart, reason});
   };
-  const bool is_known = scheduler_.MayHaveRuns(id) || known_jobs_.contains(id);
+  const bool is_known =
+      scheduler_.MayHaveRuns(id) || known_jobs_.Contains(id) || IsCancelled(id);
   const auto refusal = [](bool may_have_run) {
     return may_have_run ? StepAnswer::kAbandoned : StepAnswer::kRefused;
   };
@@ -295,7 +299,8 @@
   CloseSilentLinks(now);
   SendHeartbeats(now);
   scheduler_.OnTick(now);
-  ForgetExpiredJobs(now);
+  known_jobs_.Expire(now);
+  cancelled_jobs_.Expire(now);
   CollectActions(now);
 }
 
@@ -357,7 +362,7 @@
 void StepEntryNode::CollectActions(TimePoint now) {
   OnRelinquished(now);
   for (const StepJobId& job : scheduler_.TakeEnded()) {
-    KeepKnownJob(job, now);
+    known_jobs_.Keep(job, now);
   }
   for (StepAction& action : scheduler_.TakeActions()) {
     if (auto* message = std::get_if<SendMessage>(&action)) {
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -1,6 +1,8 @@
 #ifndef GERANIUM_ENTRY_STEP_ENTRY_NODE_H_
 #define GERANIUM_ENTRY_STEP_ENTRY_NODE_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,6 +14,7 @@
 #include "base/ids.h"
 #include "contract/route_table.h"
 #include "contract/step_job.h"
+#include "entry/expiring_table.h"
 #include "entry/step_actions.h"
 #include "entry/step_scheduler.h"
 #include "link/messages.h"
@@ -23,6 +26,9 @@
   Incarnation incarnation;
   std::string link_address;
   StepSchedulerOptions scheduler;
+  /// Jobs remembered that this and other entries have or had, and as many that
+  /// were cancelled.
+  std::size_t max_known_jobs = 80'000;
 };
 
 /// A job as received from its caller, before its route is looked up.
@@ -56,8 +62,9 @@
   /// A job is announced again each time it has been open for this long.
   static constexpr Duration kReannounceInterval{2500};
   /// How long a job is remembered after its last announcement, or its answer
-  /// here. Several announcements fit in, so that only the end of all its runs
-  /// makes an entry forget a job that another one has open.
+  /// here, unless there are too many. Several announcements fit in, so that
+  /// only the end of all its runs makes an entry forget a job that another one
+  /// has open.
   static constexpr Duration kKnownJobRetention = kReannounceInterval * 4;
   /// How long a cancelled job is remembered: longer than a copy of its request
   /// can be on its way.
@@ -113,6 +120,14 @@
 
   std::vector<StepAction> TakeActions();
 
+  /// Jobs forgotten sooner than they should be, as there were too many.
+  std::uint64_t known_jobs_forgotten() const {
+    return known_jobs_.forgotten_early() + cancelled_jobs_.forgotten_early();
+  }
+  std::size_t known_jobs() const {
+    return known_jobs_.size() + cancelled_jobs_.size();
+  }
+
   const RouteTable& table() const { return table_; }
   const StepScheduler& scheduler() const { return scheduler_; }
   /// The route that a path matches; null if none.
@@ -145,13 +160,12 @@
     /// Other entries that announced it and have not said that no run of it is
     /// left there; the newest announcement last.
     std::vector<Incarnation> holders;
-    TimePoint updated_at;
     /// To which this entry has handed the job over.
     std::optional<Incarnation> successor;
     /// Has been told that this entry has the job, and will ask for it.
     std::optional<Incarnation> querier;
-    bool cancelled = false;
   };
+  struct CancelledJob {};
   /// Who asked for a job and gets it once no run of it is left here.
   struct HandoverRequester {
     Incarnation entry;
@@ -233,14 +247,13 @@
   void OnRelinquished(TimePoint now);
   void SendHandedOver(const StepJobId& job, TimePoint now);
   std::optional<Incarnation> SuccessorOf(const StepJobId& job) const;
-  KnownJob& KeepKnownJob(const StepJobId& job, TimePoint now);
   bool IsHeldElsewhere(const StepJobId& job, TimePoint now) const;
-  bool IsCancelled(const StepJobId& job) const;
-  void MarkCancelled(const StepJobId& job, TimePoint now);
+  bool IsCancelled(const StepJobId& job) const {
+    return cancelled_jobs_.Contains(job);
+  }
   void SendCancelledJobs(LinkId link);
   void AnnounceJobs(TimePoint now);
   void ReannounceJobs(TimePoint now);
-  void ForgetExpiredJobs(TimePoint now);
   void SendOpenJobs(LinkId link, TimePoint now);
   void SendHeartbeats(TimePoint now);
   void SendHeartbeat(LinkId link, Peer& peer, TimePoint now);
@@ -249,6 +262,9 @@
   void CloseSilentLinks(TimePoint now);
   std::optional<LinkId> LinkOf(Incarnation entry) const;
   void Send(LinkId link, Message message);
+  /// Sends messages of type `Jobs` that list the jobs.
+  template <class Jobs>
+  void SendJobs(LinkId link, const std::vector<StepJobId>& jobs);
   void Log(LogLevel level, const std::string& event, LogFields fields);
   void CollectActions(TimePoint now);
 
@@ -264,8 +280,8 @@
   std::set<Incarnation> unread_entries_;
   TimePoint standstill_end_ = TimePoint::Never();  ///< Or the start.
   std::set<std::string> entry_addresses_;
-  std::unordered_map<StepJobId, KnownJob> known_jobs_;
-  std::multimap<TimePoint, StepJobId> known_job_expiry_;
+  ExpiringTable<StepJobId, KnownJob> known_jobs_;
+  ExpiringTable<StepJobId, CancelledJob> cancelled_jobs_;
   std::unordered_map<StepJobId, Handover> handovers_;
   std::unordered_map<StepJobId, HandoverRequester> handover_requesters_;
   std::vector<StepJobId> unannounced_;
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -102,8 +102,7 @@
 std::vector<Incarnation> StepEntryNode::HoldersOf(const StepJobId& job,
                                                   TimePoint now) const {
   std::vector<Incarnation> holders;
-  const auto known = known_jobs_.find(job);
-  if (known != known_jobs_.end()) holders = known->second.holders;
+  if (const KnownJob* known = known_jobs_.Find(job)) holders = known->holders;
   std::erase_if(holders, [&](Incarnation entry) { return IsLost(entry, now); });
   if (const auto successor = SuccessorOf(job)) {
     std::erase(holders, *successor);
@@ -122,7 +121,7 @@
   const Incarnation requester = peer.hello->incarnation;
   std::vector<Incarnation> holders = HoldersOf(query.job, now);
   std::erase(holders, requester);
-  KnownJob& known = KeepKnownJob(query.job, now);
+  KnownJob& known = known_jobs_.Keep(query.job, now);
   std::erase(known.holders, requester);
   known.holders.push_back(requester);
   const bool is_holder = std::find(holders.begin(), holders.end(),
--- a/src/runtime/step_metrics.cc
+++ b/src/runtime/step_metrics.cc
@@ -79,6 +79,13 @@
                   "Runs whose worker crashed", Count(counts.crashed));
   builder.Gauge("geranium_step_open_jobs", "Step jobs not answered yet",
                 static_cast<double>(scheduler.open_jobs()));
+  builder.Gauge("geranium_step_known_jobs",
+                "Jobs remembered that this or another entry has or had, or "
+                "that were cancelled",
+                static_cast<double>(node.known_jobs()));
+  builder.Counter("geranium_step_known_jobs_forgotten_total",
+                  "Jobs forgotten before their time, as there were too many",
+                  Count(node.known_jobs_forgotten()));
   builder.Gauge("geranium_step_accepting_workers", "Workers that accept orders",
                 static_cast<double>(scheduler.accepting_workers(now)));
   builder.Gauge("geranium_route_table_version",
--- a/src/settings/step_settings.cc
+++ b/src/settings/step_settings.cc
@@ -103,6 +103,9 @@
           "max_request_memory_bytes", kMaxMemoryBytes, 1 << 20, 1 << 30));
   settings.max_payload_bytes = static_cast<std::size_t>(
       entry.Integer("max_payload_bytes", kMaxPayloadBytes, 1, 65'536));
+  node.max_known_jobs = static_cast<std::size_t>(entry.Integer(
+      "max_known_jobs", static_cast<std::int64_t>(node.max_known_jobs), 100,
+      10'000'000));
   node.scheduler.min_task_cpu =
       static_cast<double>(entry.Integer("min_task_millicores", 50, 1, 1000)) /
       kMilliCores;
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -204,6 +204,24 @@
   site.CheckKeptLinks();
 }
 
+TEST_CASE("Untrusted jobs: a job deleted again and again is kept once") {
+  constexpr int kConnections = 4;
+  constexpr int kDeletions = 50'000;
+  UntrustedJobsSite site({25'600, 2, 1});
+  const Conversation job{
+      MakeRequest("POST", Target(1),
+                  Body({.tasks = 1, .milli_cores = 10, .work_ms = 5000}))};
+  std::vector<Conversation> conversations(
+      kConnections,
+      Conversation(kDeletions, MakeRequest("DELETE", Target(1), "")));
+  conversations.push_back(job);
+  HoldConversations(site.CallerAddress(0), conversations);
+  site.CheckMemory("entry-0", kMaxLimitedMemory);
+  site.CheckMemory("entry-1", kMaxLimitedMemory);
+  site.CheckServes();
+  site.CheckKeptLinks();
+}
+
 // In calm, the largest request that keeps to the platform's interface is
 // served.
 TEST_CASE(
--- a/tests/step_entry_limits_test.cc
+++ b/tests/step_entry_limits_test.cc
@@ -1,11 +1,69 @@
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <set>
 
 #include "step_entry_node_fixture.h"
 
 namespace geranium {
 namespace {
 
-class StepEntryLimitsTest : public StepEntryNodeTest {};
+class StepEntryLimitsTest : public StepEntryNodeTest {
+ protected:
+  static StepJobId JobNumber(int number) {
+    char digits[17];
+    (void)std::snprintf(digits, sizeof(digits), "%016x", number);
+    return StepJobId(digits);
+  }
+};
+
+TEST_CASE_METHOD(StepEntryLimitsTest,
+                 "StepEntryNode asked again to cancel a job tells the others "
+                 "once and keeps it once") {
+  Submit(1);
+  const std::size_t known = node_.known_jobs();
+  for (int i = 0; i < 100; ++i) CHECK(node_.CancelJob(job_, now_));
+  Collect();
+  CHECK(Sent<JobsCancelled>(kSecond).size() == 1);
+  CHECK(Sent<JobsCancelled>(kThird).size() == 1);
+  CHECK(node_.known_jobs() <= known + 2);
+}
+
+// What was announced last is most likely still run somewhere.
+TEST_CASE_METHOD(StepEntryLimitsTest,
+                 "StepEntryNode told of more jobs than it can remember forgets "
+                 "those announced the longest ago") {
+  const std::size_t limit = Options(Incarnation(1)).max_known_jobs;
+  JobsAccepted accepted;
+  for (std::size_t i = 0; i <= limit; ++i) {
+    accepted.jobs.push_back(JobNumber(static_cast<int>(i) + 100));
+  }
+  Receive(kSecond, accepted);
+  CHECK(node_.known_jobs() <= limit);
+  CHECK(node_.known_jobs_forgotten() == 1);
+  CHECK_FALSE(node_.CancelJob(accepted.jobs.front(), now_));
+  CHECK(node_.CancelJob(accepted.jobs.back(), now_));
+}
+
+TEST_CASE_METHOD(StepEntryLimitsTest,
+                 "StepEntryNode linked to an entry lists many cancelled jobs "
+                 "in small messages") {
+  constexpr std::size_t kJobs = 2500;
+  JobsCancelled cancelled;
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    cancelled.jobs.push_back(JobNumber(static_cast<int>(i)));
+  }
+  Receive(kThird, cancelled);
+  node_.OnLinkDown(kSecond, now_);
+  Collect();
+  actions_.clear();
+  LinkEntry(kSecond);
+  std::set<StepJobId> told;
+  for (const JobsCancelled& message : Sent<JobsCancelled>(kSecond)) {
+    CHECK(message.jobs.size() <= 1000);
+    told.insert(message.jobs.begin(), message.jobs.end());
+  }
+  CHECK(told.size() == kJobs);
+}
 
 TEST_CASE_METHOD(StepEntryLimitsTest,
                  "StepEntryNode with tasks that ask for nothing orders as many "
