Bound what a peer may send and leave unread on a link

Anybody can connect to the link address and send a valid first frame; eight such peers with messages of 24 MB each raised an entry to 198 MB.

Messages of identified peers could have 32 MB. What was queued for a peer that does not read, but goes on sending, was not bounded.

Messages may have 4 MiB; a route table, the largest one, has at most 256 KiB on the platform. A peer that leaves 8 MiB unread has its link reset. Both, and connections closed before a valid frame, are counted; the log of rejected frames is limited as that of other events.

No test covers the peer that does not read.

--- a/src/link/web_socket/web_socket.cc
+++ b/src/link/web_socket/web_socket.cc
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <list>
 #include <map>
@@ -74,6 +75,7 @@
     server_.set_fail_handler(
         [this](connection_hdl handle) { RemoveUnidentified(handle); });
     client_.set_open_handshake_timeout(kOpenTimeoutMs);
+    client_.set_max_message_size(kMaxMessageBytes);
   }
 
   std::string Listen(const std::string& address) {
@@ -105,9 +107,9 @@
     client_.connect(connection);
   }
 
-  void Send(ConnectionId id, const std::string& bytes) {
+  bool Send(ConnectionId id, const std::string& bytes) {
     const auto found = connections_.find(id);
-    if (found != connections_.end()) found->second.send(bytes);
+    return found == connections_.end() || found->second.send(bytes);
   }
 
   void SetIdentified(ConnectionId id) {
@@ -129,6 +131,8 @@
     handlers_.on_close(id);
   }
 
+  std::uint64_t evicted_connections() const { return evicted_; }
+
   void Stop() {
     websocketpp::lib::error_code ignored;
     if (server_.is_listening()) server_.stop_listening(ignored);
@@ -138,7 +142,7 @@
 
  private:
   struct Connection {
-    std::function<void(const std::string&)> send;
+    std::function<bool(const std::string&)> send;
     std::function<void()> set_identified;
     std::function<void()> close;
     std::function<void()> reset;
@@ -177,6 +181,7 @@
       const auto oldest =
           server_.get_con_from_hdl(unidentified_.front(), error);
       unidentified_.pop_front();
+      ++evicted_;
       boost::system::error_code ignored;
       if (oldest) oldest->get_raw_socket().close(ignored);
     }
@@ -193,11 +198,14 @@
     const ConnectionId id = next_id_++;
     Connection& added = connections_[id];
     added.send = [connection](const std::string& bytes) {
+      const std::size_t unsent = connection->get_buffered_amount();
+      if (unsent > 0 && unsent + bytes.size() > kMaxUnsentBytes) return false;
       // A failed send is reported as a closed connection.
       (void)connection->send(bytes, kBinary);
+      return true;
     };
     added.set_identified = [this, connection] {
-      connection->set_max_message_size(ClientConfig::max_message_size);
+      connection->set_max_message_size(kMaxMessageBytes);
       RemoveUnidentified(connection->get_handle());
     };
     added.close = [connection] {
@@ -231,6 +239,7 @@
   std::map<ConnectionId, Connection> connections_;
   /// Accepted connections without a valid frame, the oldest first.
   std::list<connection_hdl> unidentified_;
+  std::atomic<std::uint64_t> evicted_ = 0;
 };
 
 WebSocketNode::WebSocketNode(boost::asio::io_context& io, Handlers handlers)
@@ -244,8 +253,8 @@
 
 void WebSocketNode::Dial(const std::string& address) { impl_->Dial(address); }
 
-void WebSocketNode::Send(ConnectionId id, const std::string& bytes) {
-  impl_->Send(id, bytes);
+bool WebSocketNode::Send(ConnectionId id, const std::string& bytes) {
+  return impl_->Send(id, bytes);
 }
 
 void WebSocketNode::SetIdentified(ConnectionId id) { impl_->SetIdentified(id); }
@@ -254,6 +263,10 @@
 
 void WebSocketNode::Reset(ConnectionId id) { impl_->Reset(id); }
 
+std::uint64_t WebSocketNode::evicted_connections() const {
+  return impl_->evicted_connections();
+}
+
 void WebSocketNode::Stop() { impl_->Stop(); }
 
 }  // namespace geranium
--- a/src/runtime/metric_family_builder.cc
+++ b/src/runtime/metric_family_builder.cc
@@ -31,6 +31,12 @@
                 MaxResidentBytes());
   builder.Counter("geranium_link_frames_sent_total", "Frames sent to peers",
                   Count(links.frames_sent()));
+  builder.Counter("geranium_links_overfull_total",
+                  "Links reset because their peer did not read",
+                  Count(links.overfull_links()));
+  builder.Counter("geranium_links_evicted_total",
+                  "Connections closed for newer ones before a valid frame",
+                  Count(links.evicted_connections()));
   builder.Counter("geranium_link_frames_rejected_total",
                   "Frames that were malformed or could not be handled",
                   Count(links.frames_rejected()));
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "link/codec.h"
-#include "runtime/logging.h"
 
 namespace geranium {
 namespace {
@@ -90,7 +89,13 @@
   for (const std::string& bytes : EncodeFrames(frame, kMaxFrameBytes)) {
     ++frames_sent_;
     bytes_sent_ += bytes.size();
-    sockets_->Send(id, bytes);
+    if (sockets_->Send(id, bytes)) continue;
+    ++overfull_links_;
+    log_.Write(LogMessage{LogLevel::kError, "link_overfull",
+                          Describe(id, "the peer leaves too much unread")},
+               clock_.Now());
+    sockets_->Reset(id);
+    return;
   }
 }
 
@@ -141,15 +146,21 @@
 // other again what they hold.
 void PeerLinks::RejectFrame(std::uint64_t id, const std::string& reason) {
   ++frames_rejected_;
-  const auto dialled = address_by_link_.find(id);
-  LogEvent(
-      LogLevel::kError, "frame_rejected",
-      {{"link", std::to_string(id)},
-       {"address", dialled == address_by_link_.end() ? "" : dialled->second},
-       {"message", reason}});
+  log_.Write(
+      LogMessage{LogLevel::kError, "frame_rejected", Describe(id, reason)},
+      clock_.Now());
   sockets_->Reset(id);
 }
 
+LogFields PeerLinks::Describe(std::uint64_t id,
+                              const std::string& reason) const {
+  const auto dialled = address_by_link_.find(id);
+  const bool is_dialled = dialled != address_by_link_.end();
+  return {{"link", std::to_string(id)},
+          {"address", is_dialled ? dialled->second : ""},
+          {"message", reason}};
+}
+
 void PeerLinks::OnClose(std::uint64_t id) {
   boost::asio::post(control_, [this, id] {
     handlers_.on_down(LinkId(id));
--- a/src/runtime/peer_links.h
+++ b/src/runtime/peer_links.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "link/messages.h"
 #include "link/web_socket/web_socket.h"
+#include "runtime/rate_limited_log.h"
 
 namespace geranium {
 
@@ -55,6 +56,12 @@
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   /// Frames that were malformed or could not be handled whole.
   std::uint64_t frames_rejected() const { return frames_rejected_; }
+  /// Links reset because their peer did not read what was sent.
+  std::uint64_t overfull_links() const { return overfull_links_; }
+  /// Connections without a valid frame that were closed for newer ones.
+  std::uint64_t evicted_connections() const {
+    return sockets_->evicted_connections();
+  }
 
  private:
   // On the control thread.
@@ -65,6 +72,8 @@
   void OnBytes(std::uint64_t id, const std::string& bytes);
   void OnClose(std::uint64_t id);
   void RejectFrame(std::uint64_t id, const std::string& reason);
+  /// The fields of a log line about a link.
+  LogFields Describe(std::uint64_t id, const std::string& reason) const;
   void DialLater(const std::string& address);
   void DialIfWanted(const std::string& address);
 
@@ -84,6 +93,9 @@
   std::atomic<std::uint64_t> frames_sent_ = 0;
   std::atomic<std::uint64_t> bytes_sent_ = 0;
   std::atomic<std::uint64_t> frames_rejected_ = 0;
+  std::atomic<std::uint64_t> overfull_links_ = 0;
+  SystemClock clock_;
+  RateLimitedLog log_;
   std::unique_ptr<WebSocketNode> sockets_;
 };
 
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "link/codec.h"
 #include "process/crowd.h"
 #include "process/eventually.h"
 #include "process/flood.h"
@@ -222,6 +223,39 @@
   site.CheckKeptLinks();
 }
 
+/// The head of a masked WebSocket frame, binary and final; the mask is 0.
+std::string FrameHead(std::size_t bytes) {
+  constexpr std::size_t kShort = 126;
+  const std::string mask(4, '\0');
+  if (bytes < kShort)
+    return std::string("\x82") + static_cast<char>(0x80U | bytes) + mask;
+  std::string head("\x82\xff");
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    head += static_cast<char>(bytes >> static_cast<unsigned>(shift));
+  }
+  return head + mask;
+}
+
+// Anybody can send a valid first frame.
+TEST_CASE("Untrusted jobs: large messages of a peer stay within an entry") {
+  constexpr std::size_t kMessageBytes = 24'000'000;
+  UntrustedJobsSite site(SmallSite(25'800));
+  Hello hello;
+  hello.role = ProcessRole::kAgent;
+  hello.incarnation = Incarnation(1);
+  const std::string first = EncodeFrame({hello});
+  const Flood flood{"large messages",
+                    "GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
+                    "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                    "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n" +
+                        FrameHead(first.size()) + first +
+                        FrameHead(kMessageBytes),
+                    "x", kMessageBytes - 100'000};
+  const auto crowd = SendFloods(site.LinkAddress(0), flood, 8);
+  site.CheckMemory("entry-0", kMaxMemory);
+  site.CheckServes();
+}
+
 // In calm, the largest request that keeps to the platform's interface is
 // served.
 TEST_CASE(
