Find out whether a job is given up without a scan of its tasks

When a worker crashed, the entry looked up the name of each task of a job in the list of suspects, for each of its runs that ended with the crash: with 100,000 tasks and 640 runs that is 64 million names, on the thread that sends heartbeats. The list of suspects had no bound but its time of 60 s.

The job keeps the highest number of crashes of one of its tasks, and the history the highest number of each job. At most 10,000 tasks are suspected.

Found by reading; no process test shows it, as the stand-in's workers do not crash. Unit tests cover the counts and the bound.

--- a/src/entry/crash_history.cc
+++ b/src/entry/crash_history.cc
@@ -17,12 +17,22 @@
 /// Longer than callers wait for a job, however often they send it.
 constexpr Duration kSuspectMemory{60'000};
 
+// Names begin with the id of their job, and a dot (`NameOf`).
+StepJobId JobOf(const TaskName& task) {
+  return StepJobId(task.value().substr(0, task.value().find('.')));
+}
+
 }  // namespace
 
 void CrashHistory::AddSuspect(const TaskName& task, TimePoint now) {
+  const bool is_full = suspects_.size() >= kMaxSuspects;
+  if (is_full && !suspects_.contains(task)) return;
   Suspect& suspect = suspects_[task];
   ++suspect.crashes;
   suspect.last = now;
+  Suspect& job = suspect_jobs_[JobOf(task)];
+  job.crashes = std::max(job.crashes, suspect.crashes);
+  job.last = now;
 }
 
 int CrashHistory::CountCrashes(const TaskName& task) const {
@@ -30,6 +40,19 @@
   return found == suspects_.end() ? 0 : found->second.crashes;
 }
 
+int CrashHistory::CountCrashesOfJob(const StepJobId& job) const {
+  const auto found = suspect_jobs_.find(job);
+  return found == suspect_jobs_.end() ? 0 : found->second.crashes;
+}
+
+void CrashHistory::ForgetOldSuspects(TimePoint now) {
+  const auto is_old = [&](const auto& item) {
+    return now - item.second.last > kSuspectMemory;
+  };
+  std::erase_if(suspects_, is_old);
+  std::erase_if(suspect_jobs_, is_old);
+}
+
 std::string CrashHistory::OnCrash(const std::vector<std::string>& routes,
                                   TimePoint now) {
   bool explained = false;
@@ -68,9 +91,7 @@
 }
 
 std::vector<std::string> CrashHistory::OnTick(bool exposed, TimePoint now) {
-  std::erase_if(suspects_, [&](const auto& item) {
-    return now - item.second.last > kSuspectMemory;
-  });
+  ForgetOldSuspects(now);
   const Duration passed = std::min(now - last_tick_, kLongestTick);
   last_tick_ = now;
   std::vector<std::string> cleared;
--- a/src/entry/crash_history.h
+++ b/src/entry/crash_history.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_ENTRY_CRASH_HISTORY_H_
 #define GERANIUM_ENTRY_CRASH_HISTORY_H_
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <set>
@@ -19,10 +20,16 @@
 /// routes.
 class CrashHistory {
  public:
+  /// Tasks beyond this number are not suspected. A worker runs a few dozen, and
+  /// crashes at most every few seconds.
+  static constexpr std::size_t kMaxSuspects = 10'000;
+
   /// A worker has crashed shortly after the start of `task`.
   void AddSuspect(const TaskName& task, TimePoint now);
   /// Workers that have crashed shortly after the start of the task.
   int CountCrashes(const TaskName& task) const;
+  /// The highest count of all tasks of the job.
+  int CountCrashesOfJob(const StepJobId& job) const;
   bool has_suspects() const { return !suspects_.empty(); }
   /// A worker has crashed shortly after tasks of `routes` had started there.
   /// Returns the route that is isolated from now on, or an empty string.
@@ -48,8 +55,10 @@
   };
 
   std::string MostSuspected() const;
+  void ForgetOldSuspects(TimePoint now);
 
   std::unordered_map<TaskName, Suspect> suspects_;
+  std::unordered_map<StepJobId, Suspect> suspect_jobs_;
   std::deque<Crash> unexplained_;  ///< By a route that is isolated.
   /// Isolated routes, and how long their jobs could run without a crash.
   std::map<std::string, Duration> clean_for_;
--- a/src/entry/open_step_job.h
+++ b/src/entry/open_step_job.h
@@ -59,6 +59,7 @@
   std::size_t waiting = 0;
   std::size_t open_attempts = 0;  ///< Not known to have ended.
   std::uint64_t orders = 0;
+  std::uint32_t most_crashes = 0;  ///< Of one of its tasks.
   bool held = false;
   bool late = false;  ///< Past its latest start with nothing started.
   bool answered = false;
--- a/src/entry/route_isolation.cc
+++ b/src/entry/route_isolation.cc
@@ -32,15 +32,8 @@
 }
 
 bool RouteIsolation::IsGivenUp(const OpenStepJob& job) const {
-  for (std::size_t s = 0; s < job.steps.size(); ++s) {
-    for (std::size_t t = 0; t < job.steps[s].tasks.size(); ++t) {
-      if (job.steps[s].tasks[t].crashes >= kMaxCrashes ||
-          CountCrashesAtStart(job, s, t) >= kMaxCrashesAtStart) {
-        return true;
-      }
-    }
-  }
-  return false;
+  return job.most_crashes >= kMaxCrashes ||
+         history_.CountCrashesOfJob(job.spec.id) >= kMaxCrashesAtStart;
 }
 
 // With no other route to protect, isolation would only leave workers idle.
--- a/src/entry/step_scheduler_crashes.cc
+++ b/src/entry/step_scheduler_crashes.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "entry/step_scheduler.h"
 
 namespace geranium {
@@ -15,6 +17,7 @@
                                   StepTask& task, TimePoint now) {
   ++counters_.crashed;
   ++task.crashes;
+  job.most_crashes = std::max(job.most_crashes, task.crashes);
   if (isolation_.IsGivenUp(job)) {
     Answer(job, StepAnswer::kFailed, Duration(0), kGivenUpReason, now);
   } else {
--- a/tests/crash_history_test.cc
+++ b/tests/crash_history_test.cc
@@ -74,5 +74,35 @@
   CHECK(history_.empty());
 }
 
+TEST_CASE(
+    "CrashHistory with suspects of two jobs counts for each the task "
+    "with most crashes") {
+  CrashHistory history;
+  const TimePoint now(1000);
+  history.AddSuspect(TaskName("a.0.0.1"), now);
+  history.AddSuspect(TaskName("a.0.0.2"), now);
+  history.AddSuspect(TaskName("b.0.0.1"), now);
+  history.AddSuspect(TaskName("b.0.0.1"), now);
+  CHECK(history.CountCrashesOfJob(StepJobId("a")) == 1);
+  CHECK(history.CountCrashesOfJob(StepJobId("b")) == 2);
+  CHECK(history.CountCrashesOfJob(StepJobId("c")) == 0);
+  (void)history.OnTick(true, TimePoint(1000 + 60'001));
+  CHECK(history.CountCrashesOfJob(StepJobId("b")) == 0);
+}
+
+TEST_CASE("CrashHistory with very many suspects keeps a bounded number") {
+  CrashHistory history;
+  const TimePoint now(1000);
+  history.AddSuspect(TaskName("a.0.0.0"), now);
+  for (std::size_t i = 0; i < 2 * CrashHistory::kMaxSuspects; ++i) {
+    history.AddSuspect(TaskName("b.0.0." + std::to_string(i)), now);
+  }
+  history.AddSuspect(TaskName("a.0.0.0"), now);
+  CHECK(history.CountCrashes(TaskName("a.0.0.0")) == 2);
+  CHECK(history.CountCrashes(TaskName(
+            "b.0.0." + std::to_string(2 * CrashHistory::kMaxSuspects - 1))) ==
+        0);
+}
+
 }  // namespace
 }  // namespace geranium
