Enforce the operator's limit on bodies

max-body-bytes of the operator's table was read and not applied; bodies of up to 8 MiB were taken and parsed. The table's value now applies as soon as the table does, between the shortest job and 8 MiB; a longer body gets 413 while it is read.

Test: "a body above the operator's limit is refused"; it was served before.

--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -78,6 +78,7 @@
         acceptor_(io),
         handler_(std::move(handler)),
         half_close_(half_close),
+        max_body_bytes_(limits.max_body_bytes),
         limits_(limits),
         table_(limits.max_request_memory_bytes) {}
 
@@ -115,6 +116,12 @@
 
   std::size_t unanswered() const { return unanswered_; }
 
+  void SetMaxBodyBytes(std::size_t bytes) {
+    asio::dispatch(io_, [self = shared_from_this(), bytes] {
+      self->limits_.max_body_bytes = std::min(self->max_body_bytes_, bytes);
+    });
+  }
+
   void SetOnClientLimit(OnClientLimit on_limit) {
     on_limit_ = std::move(on_limit);
   }
@@ -361,7 +368,8 @@
   tcp::acceptor acceptor_;
   Handler handler_;
   HalfClose half_close_;
-  const HttpServerLimits limits_;
+  const std::size_t max_body_bytes_;
+  HttpServerLimits limits_;
   ConnectionTable table_;
   std::unordered_map<Id, beast::tcp_stream*> streams_;
   OnClientLimit on_limit_;
@@ -390,4 +398,8 @@
 
 std::size_t HttpServer::unanswered() const { return impl_->unanswered(); }
 
+void HttpServer::SetMaxBodyBytes(std::size_t bytes) {
+  impl_->SetMaxBodyBytes(bytes);
+}
+
 }  // namespace geranium
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -63,6 +63,8 @@
   void CloseAfterResponses();
   /// Requests whose response has not been written completely.
   std::size_t unanswered() const;
+  /// Lowers the limit on bodies, or raises it again up to that of the server.
+  void SetMaxBodyBytes(std::size_t bytes);
   /// `on_limit` runs on the traffic thread when a client has met a limit.
   void SetOnClientLimit(OnClientLimit on_limit);
 
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -201,6 +201,7 @@
 }
 
 void StepEntryServer::PerformActions() {
+  ApplyBodyLimit();
   for (const StepAction& action : node_.TakeActions()) {
     std::visit([this](const auto& typed) { Perform(typed); }, action);
   }
@@ -208,6 +209,17 @@
   loop_.TickWithin(node_.TimeToNextTick(clock_.Now()));
 }
 
+// A limit that no job could meet would turn all callers away.
+void StepEntryServer::ApplyBodyLimit() {
+  const std::int64_t limit = node_.table().max_body_bytes;
+  if (!node_.has_table() || limit == max_body_bytes_) return;
+  max_body_bytes_ = limit;
+  constexpr auto kSmallest =
+      static_cast<std::int64_t>(platform::kSmallestJobBody.size());
+  caller_server_.SetMaxBodyBytes(
+      static_cast<std::size_t>(std::max(limit, kSmallest)));
+}
+
 void StepEntryServer::Perform(const SendMessage& action) {
   links_.Send(action.link, action.message);
 }
--- a/src/runtime/step_entry_server.h
+++ b/src/runtime/step_entry_server.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
 #define GERANIUM_RUNTIME_STEP_ENTRY_SERVER_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,8 @@
   /// what they send to one peer shares a frame.
   void ScheduleActions();
   void PerformActions();
+  /// Applies the operator's limit on bodies.
+  void ApplyBodyLimit();
   void Perform(const SendMessage& action);
   void Perform(const ConnectEntry& action);
   void Perform(const CloseLink& action);
@@ -79,6 +82,7 @@
   HttpServer ready_server_;
   MetricsEndpoint metrics_;
   bool actions_scheduled_ = false;
+  std::int64_t max_body_bytes_ = 0;  ///< Applied; 0: none yet.
   std::uint64_t next_caller_ = 1;
   struct PendingRequest {
     ExchangePtr exchange;
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -256,6 +256,19 @@
   site.CheckServes();
 }
 
+TEST_CASE("Untrusted jobs: a body above the operator's limit is refused") {
+  UntrustedJobsSite site(SmallSite(25'900));
+  auto manifest = nlohmann::json::parse(StepSite::Manifest(4));
+  manifest["limits"] = {{"max-body-bytes", 2000}};
+  REQUIRE(site.Publish(manifest.dump()));
+  const std::string body = Body({.spec_bytes = 3000});
+  CHECK(Eventually([&] {
+    return site.Send(site.CallerAddress(0), "POST", Target(1), body).status ==
+           413;
+  }));
+  site.CheckServes();
+}
+
 // In calm, the largest request that keeps to the platform's interface is
 // served.
 TEST_CASE(
