--- a/src/runtime/rate_limited_log.cc
+++ b/src/runtime/rate_limited_log.cc
@@ -24,13 +24,14 @@
     return;
   }
   bucket.millitokens -= 1000;
-  if (bucket.suppressed == 0) {
-    sink_(message.level, message.event, message.fields);
-    return;
-  }
   LogFields fields = message.fields;
-  fields.emplace_back("left_out_before",
-                      std::to_string(std::exchange(bucket.suppressed, 0)));
+  for (auto& [name, value] : fields) {
+    if (value.size() > kMaxFieldBytes) value.resize(kMaxFieldBytes);
+  }
+  if (bucket.suppressed > 0) {
+    fields.emplace_back("left_out_before",
+                        std::to_string(std::exchange(bucket.suppressed, 0)));
+  }
   sink_(message.level, message.event, fields);
 }
 
--- a/src/runtime/rate_limited_log.h
+++ b/src/runtime/rate_limited_log.h
@@ -1,6 +1,7 @@
 #ifndef GERANIUM_RUNTIME_RATE_LIMITED_LOG_H_
 #define GERANIUM_RUNTIME_RATE_LIMITED_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -20,6 +21,8 @@
   /// Sustained rate and burst size for one event.
   static constexpr std::int64_t kLinesPerSecond = 50;
   static constexpr std::int64_t kBurst = 200;
+  /// Longer values, such as a caller's path, are cut.
+  static constexpr std::size_t kMaxFieldBytes = 4096;
 
   using Sink = std::function<void(LogLevel level, const std::string& event,
                                   const LogFields& fields)>;
--- a/tests/rate_limited_log_test.cc
+++ b/tests/rate_limited_log_test.cc
@@ -1,5 +1,6 @@
 #include "runtime/rate_limited_log.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
@@ -51,5 +52,18 @@
   CHECK(written_["worker_lost"] == 1);
 }
 
+TEST_CASE("RateLimitedLog with a value of a caller's length cuts it") {
+  std::size_t longest = 0;
+  RateLimitedLog log([&](LogLevel /*level*/, const std::string& /*event*/,
+                         const LogFields& fields) {
+    for (const auto& [key, value] : fields) {
+      longest = std::max(longest, value.size());
+    }
+  });
+  log.Write({LogLevel::kInfo, "e", {{"path", std::string(100'000, 'x')}}},
+            TimePoint(1000));
+  CHECK(longest == RateLimitedLog::kMaxFieldBytes);
+}
+
 }  // namespace
 }  // namespace geranium
