Limit announcements of workers to 64 KiB

What a worker announces is kept by its agent and sent on to its entries, and could have 8 MiB. An announcement has some hundred bytes.

Test: "an announcement as large as no worker's is refused"; one of 100,000 bytes was read before and is answered 413 now.

--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -19,6 +19,15 @@
 constexpr Duration kStopMargin{900};
 /// While leaving, how often it is checked whether all is done.
 constexpr Duration kLeavingCheckInterval{20};
+/// An announcement has some hundred bytes. What it says is kept, and sent on to
+/// entries.
+constexpr std::size_t kMaxAnnouncementBytes = 65'536;
+
+HttpServerLimits ToRegistrationLimits(const ClientLimitSettings& settings) {
+  HttpServerLimits limits = ToServerLimits(settings);
+  limits.max_body_bytes = kMaxAnnouncementBytes;
+  return limits;
+}
 
 }  // namespace
 
@@ -42,7 +51,7 @@
           loop_.traffic(),
           [this](const ExchangePtr& exchange) { OnRegistration(exchange); },
           HttpServer::HalfClose::kIgnored,
-          ToServerLimits(settings_.client_limits)),
+          ToRegistrationLimits(settings_.client_limits)),
       metrics_(loop_.control(), loop_.traffic(), [this] {
         return StepAgentMetrics(session_, links_, client_limits_.counts(),
                                 clock_.Now());
--- a/tests/process/untrusted_job_test.cc
+++ b/tests/process/untrusted_job_test.cc
@@ -269,6 +269,17 @@
   site.CheckServes();
 }
 
+TEST_CASE(
+    "Untrusted jobs: an announcement as large as no worker's is refused") {
+  UntrustedJobsSite site(SmallSite(26'000));
+  const std::string body =
+      R"({"labels":[")" + std::string(100'000, 'x') + "\"]}";
+  CHECK(site.Send(site.RegistrationAddress(0), "POST",
+                  "/-/Instances.Heartbeat/i-9", body)
+            .status == 413);
+  site.CheckServes();
+}
+
 // In calm, the largest request that keeps to the platform's interface is
 // served.
 TEST_CASE(
