--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -5,13 +5,13 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
 #include <cerrno>
 #include <chrono>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "runtime/beast_messages.h"
 #include "runtime/pending_exchange.h"
 #include "runtime/request_reader.h"
 
@@ -27,25 +27,6 @@
 constexpr auto kWriteTimeout = std::chrono::seconds(30);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
-std::string LowerCase(std::string text) {
-  for (char& c : text) {
-    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-  }
-  return text;
-}
-
-HttpRequest ToRequest(http::request<http::string_body> message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  SplitTarget(std::string(message.target()), request);
-  for (const auto& field : message) {
-    request.headers[LowerCase(std::string(field.name_string()))] =
-        std::string(field.value());
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
 // A request can still be read after its caller has disconnected. Without this
 // check, a busy server would handle requests already sent again elsewhere.
 bool HasDisconnected(tcp::socket& socket, HttpServer::HalfClose half_close) {
@@ -57,17 +38,6 @@
   return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
-// The response to input that is not a valid request.
-HttpResponse ParseErrorResponse(const beast::error_code& error) {
-  HttpResponse response;
-  response.status = 400;
-  response.body =
-      std::string(R"({"error":{"code":"malformed",)") +
-      R"("step":"read request","peer":"caller","execution":"not_run",)" +
-      R"("message":")" + error.message() + R"("}})" + "\n";
-  return response;
-}
-
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
@@ -314,19 +284,8 @@
   static asio::awaitable<bool> Write(beast::tcp_stream& stream,
                                      HttpResponse response, unsigned version,
                                      bool keep_open) {
-    http::response<http::string_body> message(
-        static_cast<http::status>(response.status), version);
-    message.set(http::field::content_type, response.content_type);
-    if (response.retry_after_s) {
-      message.set(http::field::retry_after,
-                  std::to_string(*response.retry_after_s));
-    }
-    message.keep_alive(keep_open);
-    // These statuses have no body, and Beast throws if one is given.
-    const bool has_no_body = response.status < 200 || response.status == 204 ||
-                             response.status == 304;
-    if (!has_no_body) message.body() = std::move(response.body);
-    message.prepare_payload();
+    const auto message =
+        ToBeastMessage(std::move(response), version, keep_open);
     stream.expires_after(kWriteTimeout);
     beast::error_code error;
     co_await http::async_write(
