Sum up the queue once for all jobs refused in a tick

Each job that was refused at its start deadline had the whole queue summed up for its Retry-After. With a job on each of 2,700 connections that is seven million sums in one tick, on the thread that sends heartbeats.

The sum is taken once and reduced by each job that leaves. Found by reading; the existing tests of refusals and Retry-After cover the result.

--- a/src/entry/job_queue.cc
+++ b/src/entry/job_queue.cc
@@ -32,6 +32,13 @@
   return {jobs.rbegin(), jobs.rend()};
 }
 
+double JobQueue::WaitingCoreMs(
+    const std::map<JobNumber, OpenStepJob>& jobs) const {
+  double sum = 0;
+  for (const Key& key : keys_) sum += jobs.at(key.number).WaitingCoreMs();
+  return sum;
+}
+
 Backlog JobQueue::EstimateBacklog(const OpenStepJob& job,
                                   const std::map<JobNumber, OpenStepJob>& jobs,
                                   double cores) const {
--- a/src/entry/job_queue.h
+++ b/src/entry/job_queue.h
@@ -40,6 +40,8 @@
   std::vector<JobNumber> LateJobs() const;
 
   /// The time in which `cores` work off what waits ahead of the job.
+  /// The estimated processor time of all waiting tasks.
+  double WaitingCoreMs(const std::map<JobNumber, OpenStepJob>& jobs) const;
   Backlog EstimateBacklog(const OpenStepJob& job,
                           const std::map<JobNumber, OpenStepJob>& jobs,
                           double cores) const;
--- a/src/entry/step_scheduler.cc
+++ b/src/entry/step_scheduler.cc
@@ -266,26 +266,34 @@
                                            : job.deadlines.start_deadline;
     if (now >= end) expired.push_back(number);
   }
+  std::vector<JobNumber> refused;
   for (const JobNumber number : expired) {
     OpenStepJob& job = jobs_.at(number);
-    if (job.may_have_run) {
-      Answer(job, StepAnswer::kAbandoned, Duration(0),
-             "the caller's timeout expired", now);
-    } else {
-      RefuseWaiting(
-          number, "no worker had free capacity before the start deadline", now);
+    if (!job.may_have_run) {
+      refused.push_back(number);
       continue;
     }
+    Answer(job, StepAnswer::kAbandoned, Duration(0),
+           "the caller's timeout expired", now);
     EraseIfDone(number);
   }
+  RefuseWaiting(refused,
+                "no worker had free capacity before the start deadline", now);
 }
 
-void StepScheduler::RefuseWaiting(JobNumber number, const std::string& reason,
-                                  TimePoint now) {
-  OpenStepJob& job = jobs_.at(number);
-  Answer(job, StepAnswer::kRefused,
-         Admission::RetryAfter(job.spec.id, EstimateBacklog(job)), reason, now);
-  EraseIfDone(number);
+// Thousands of jobs may be refused at once, so the queue is summed up once.
+void StepScheduler::RefuseWaiting(const std::vector<JobNumber>& refused,
+                                  const std::string& reason, TimePoint now) {
+  if (refused.empty()) return;
+  double core_ms = queue_.WaitingCoreMs(jobs_);
+  for (const JobNumber number : refused) {
+    OpenStepJob& job = jobs_.at(number);
+    const Duration total(static_cast<std::int64_t>(core_ms / Cores()));
+    core_ms -= job.WaitingCoreMs();
+    Answer(job, StepAnswer::kRefused,
+           Admission::RetryAfter(job.spec.id, Backlog{{}, total}), reason, now);
+    EraseIfDone(number);
+  }
 }
 
 // Nothing of these jobs has run, so the refusal is true, and their callers
@@ -306,11 +314,9 @@
       refused.push_back(number);
     }
   }
-  for (const JobNumber number : refused) {
-    ++counters_.refused_late;
-    RefuseWaiting(number, "it is late and could not start before its deadline",
-                  now);
-  }
+  counters_.refused_late += refused.size();
+  RefuseWaiting(refused, "it is late and could not start before its deadline",
+                now);
 }
 
 void StepScheduler::LogAdmitted(const OpenStepJob& job,
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -190,8 +190,8 @@
   bool AnswerIfGivenUp(OpenStepJob& job, TimePoint now);
   void Answer(OpenStepJob& job, StepAnswer answer, Duration retry_after,
               const std::string& reason, TimePoint now);
-  void RefuseWaiting(JobNumber number, const std::string& reason,
-                     TimePoint now);
+  void RefuseWaiting(const std::vector<JobNumber>& refused,
+                     const std::string& reason, TimePoint now);
   void ExpireJobs(TimePoint now);
   void RequeueLateJobs(TimePoint now);
   void RefuseLateJobs(TimePoint now);
