Tell a newly linked entry of the last 10,000 cancelled jobs

With 80,000 ids remembered, an entry that is linked to many others at once would prepare a list of 5 MB for each of them.

--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -11,6 +11,9 @@
 
 /// Jobs listed by one message, so that all frames are small.
 constexpr std::size_t kMaxListedJobs = 1000;
+/// Cancelled jobs of which an entry is told when it is linked. Many entries may
+/// be linked at once.
+constexpr std::size_t kMaxCancelledJobsTold = 10'000;
 
 }  // namespace
 
@@ -37,11 +40,19 @@
 }
 
 // A new process knows of no cancellation, and one that was cut off has missed
-// some.
+// some. Copies of the requests that were cancelled last are most likely still
+// on their way.
 void StepEntryNode::SendCancelledJobs(LinkId link) {
   std::vector<StepJobId> jobs;
-  cancelled_jobs_.ForEach(
-      [&](const StepJobId& job, const CancelledJob&) { jobs.push_back(job); });
+  const std::size_t known = cancelled_jobs_.size();
+  std::size_t skipped = known - std::min(known, kMaxCancelledJobsTold);
+  cancelled_jobs_.ForEach([&](const StepJobId& job, const CancelledJob&) {
+    if (skipped > 0) {
+      --skipped;
+    } else {
+      jobs.push_back(job);
+    }
+  });
   SendJobs<JobsCancelled>(link, jobs);
 }
 
