--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -90,7 +90,7 @@
   attempt.state_since = now;
   by_run_[order.run] = order.attempt;
   ++by_task_[order.run.task];
-  StartQueued(now);
+  if (!starts_delayed_) StartQueued(now);
 }
 
 // Also of orders that the next tick is to return: their entry may have given
