Copy the id of an attempt that ends before it is erased

An agent ended (segmentation fault in WorkerSession::End, called for a stop) in two of five plays of 8 s in which 16 clients sent four jobs of 500 small tasks again and again and left. The five plays had the bound on calls, with which more orders wait at an agent.

A stop of a queued order passed the id that the attempt holds by reference to End, which erases the attempt and then reports the end with that id; the same for the reason of a stop. Mostly the freed memory still held them, else the entry was told of another attempt, or the process ended.

End takes both by value. Unit test: with freed memory overwritten, stops of 60 queued orders were reported with wrong ids before and with their own after.

--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -227,8 +227,7 @@
                       TimePoint now);
   void Stop(Attempt& attempt, const std::string& reason, TimePoint now);
   void SendStop(Attempt& attempt, TimePoint now);
-  void End(const AttemptId& id, AttemptEnd end, const std::string& reason,
-           TimePoint now);
+  void End(AttemptId id, AttemptEnd end, std::string reason, TimePoint now);
   void SendTaskEnd(Incarnation entry, const TaskEnd& end);
   void HandleEndedRuns(const PollOutcome& outcome, TimePoint now);
   void ReconcileAttempts(const PollOutcome& outcome, std::uint64_t poll,
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -284,8 +284,9 @@
   }
 }
 
-void WorkerSession::End(const AttemptId& id, AttemptEnd end,
-                        const std::string& reason, TimePoint now) {
+// By value: the id and the reason may be those of the attempt, which is erased.
+void WorkerSession::End(AttemptId id, AttemptEnd end, std::string reason,
+                        TimePoint now) {
   const auto found = attempts_.find(id);
   Attempt& attempt = found->second;
   if (attempt.crashed && end == AttemptEnd::kStopped) {
--- a/tests/worker_session_limits_test.cc
+++ b/tests/worker_session_limits_test.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <catch2/catch.hpp>
 #include <set>
 #include <string>
@@ -122,6 +124,36 @@
   CHECK_FALSE(accepting);
 }
 
+// Guards against an id that is read after its attempt has been freed, which
+// ended an agent. Only the first few blocks that are freed keep their contents.
+TEST_CASE_METHOD(WorkerSessionLimitsTest,
+                 "WorkerSession told to stop queued orders says which of them "
+                 "have ended") {
+  constexpr std::uint64_t kOrders = 60;
+  constexpr int kFreedByte = 0xa5;
+  mallopt(M_PERTURB, kFreedByte);
+  for (std::uint64_t i = 1; i <= kOrders; ++i) OrderSmall(i);
+  Tick();
+  const auto started = static_cast<std::uint64_t>(CountActions<StartRun>());
+  for (std::uint64_t i = 1; i <= kOrders; ++i) {
+    session_.OnMessage(
+        kFirst, StopTask{AttemptId{Incarnation(kFirst.value()), i}}, now_);
+  }
+  Tick();
+  mallopt(M_PERTURB, 0);
+  std::set<AttemptId> ended;
+  for (const SessionAction& action : actions_) {
+    const auto* send = std::get_if<SendMessage>(&action);
+    if (send == nullptr) continue;
+    const auto* end = std::get_if<TaskEnd>(&send->message);
+    if (end == nullptr) continue;
+    CHECK(end->attempt.entry == Incarnation(kFirst.value()));
+    CHECK(end->reason == "cancelled");
+    ended.insert(end->attempt);
+  }
+  CHECK(ended.size() == kOrders - started);
+}
+
 // Guards against a payload that is kept as long as its run.
 TEST_CASE_METHOD(WorkerSessionLimitsTest,
                  "WorkerSession with runs that have started holds none of "
