--- a/src/base/shared_text.h
+++ b/src/base/shared_text.h
@@ -17,8 +17,8 @@
                   : std::make_shared<const std::string>(std::move(text))) {}
 
   const std::string& value() const {
-    static const std::string kEmpty;
-    return text_ ? *text_ : kEmpty;
+    static const std::string empty;
+    return text_ ? *text_ : empty;
   }
   std::size_t size() const { return text_ ? text_->size() : 0; }
   bool empty() const { return text_ == nullptr; }
