--- a/src/entry/expiring_table.h
+++ b/src/entry/expiring_table.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <list>
 #include <unordered_map>
 #include <utility>
@@ -11,15 +12,15 @@
 
 namespace geranium {
 
-/// A table whose items are forgotten some time after they were last kept, and
-/// sooner if there are too many: those that were kept the longest ago first.
+/// A map of bounded size whose items expire a fixed time after they were last
+/// kept. If it is full, a new item replaces the one kept the longest ago.
 template <class Key, class Value>
 class ExpiringTable {
  public:
   ExpiringTable(Duration retention, std::size_t max_size)
       : retention_(retention), max_size_(max_size) {}
 
-  /// The item, which is created if it is unknown. Its retention starts anew.
+  /// Finds or creates the item and restarts its retention.
   Value& Keep(const Key& key, TimePoint now) {
     const auto found = by_key_.find(key);
     if (found == by_key_.end()) {
@@ -35,7 +36,7 @@
     found->second->kept_at = now;
     return found->second->value;
   }
-  /// Starts the retention of all items anew.
+  /// Restarts the retention of all items.
   void KeepAll(TimePoint now) {
     for (Item& item : items_) item.kept_at = now;
   }
@@ -56,14 +57,14 @@
   }
   bool Contains(const Key& key) const { return by_key_.contains(key); }
 
-  /// The oldest first.
+  /// Visits the items, those kept the longest ago first.
   template <class Visit>
   void ForEach(Visit visit) const {
     for (const Item& item : items_) visit(item.key, item.value);
   }
 
   std::size_t size() const { return by_key_.size(); }
-  /// Items forgotten before the end of their retention.
+  /// Items replaced before the end of their retention.
   std::uint64_t forgotten_early() const { return forgotten_early_; }
 
  private:
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -26,8 +26,8 @@
   Incarnation incarnation;
   std::string link_address;
   StepSchedulerOptions scheduler;
-  /// Jobs remembered that this and other entries have or had, and as many that
-  /// were cancelled.
+  /// Limit on the jobs remembered that this and other entries have or had, and
+  /// on those that were cancelled.
   std::size_t max_known_jobs = 80'000;
 };
 
@@ -120,7 +120,7 @@
 
   std::vector<StepAction> TakeActions();
 
-  /// Jobs forgotten sooner than they should be, as there were too many.
+  /// Jobs forgotten before the end of their retention, as there were too many.
   std::uint64_t known_jobs_forgotten() const {
     return known_jobs_.forgotten_early() + cancelled_jobs_.forgotten_early();
   }
--- a/src/entry/step_scheduler.h
+++ b/src/entry/step_scheduler.h
@@ -30,8 +30,7 @@
   Incarnation incarnation;
   PlacementOptions placement;
   AdmissionOptions admission;
-  /// A task that asks for less gets so many cores, which bounds the tasks that
-  /// run at one worker.
+  /// Cores that a task takes at least: bounds the tasks that run at a worker.
   double min_task_cpu = 0.05;
   /// See UrgentReserve; 0 keeps nothing free.
   double urgent_reserve = 1;
--- a/src/entry/step_scheduler_placing.cc
+++ b/src/entry/step_scheduler_placing.cc
@@ -16,11 +16,12 @@
 /// About the time until the next task of a full worker ends.
 constexpr Duration kMinQueueWait{20};
 constexpr Duration kMaxQueueWait{250};
-/// One pass must not keep heartbeats from being sent, nor fill the links. What
-/// it leaves is placed in the next one.
+/// A long pass would delay heartbeats, and its orders would fill the links. The
+/// next pass places what is left.
 constexpr int kMaxStepsPerPass = 20'000;
 constexpr int kMaxOrdersPerPass = 1000;
-/// A job needs all of its steps, so those after the first that wait can too.
+/// Later steps of a job gain nothing from an earlier start than the first ones:
+/// the job needs all of them.
 constexpr int kMaxStepsOfJobPerPass = 64;
 
 }  // namespace
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -179,7 +179,7 @@
   std::string Take() {
     std::string bytes = ArrayHead(count_ + (texts_.empty() ? 0 : 1));
     if (!texts_.empty()) {
-      // Messages begin with a number, so this is not taken for one.
+      // Messages are arrays that begin with a number, this one with an array.
       Json texts = Json::array();
       for (const SharedText& text : texts_) texts.push_back(text.value());
       Json::to_cbor(Json::array({std::move(texts)}), bytes);
--- a/src/runtime/connection_table.h
+++ b/src/runtime/connection_table.h
@@ -36,8 +36,8 @@
   /// requests that have been arriving the longest are added to `evicted` and
   /// removed. Without success its memory is unchanged.
   Outcome Reserve(Id id, std::size_t bytes, std::vector<Id>& evicted);
-  /// Reserves memory that the connection's request takes beyond its response,
-  /// until `EndLease`. Makes room like `Reserve`.
+  /// Reserves memory that outlives the connection, until `EndLease`. Makes room
+  /// like `Reserve`.
   Outcome Lease(Id id, std::size_t bytes, std::vector<Id>& evicted);
   void EndLease(std::size_t bytes) { memory_ -= bytes; }
   /// Removes the connection that has waited for a request the longest.
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -13,7 +13,7 @@
 
 namespace geranium {
 
-/// A lease, or the limit that forbids it.
+/// The result of a reservation: a lease, or the limit that it would exceed.
 struct MemoryReservation {
   MemoryLease lease;
   std::optional<ClientLimit> limit;
@@ -29,10 +29,10 @@
   virtual void Reply(HttpResponse response) = 0;
   /// True once the caller has disconnected; may be called from any thread.
   virtual bool disconnected() const = 0;
-  /// Reserves memory for what the request leads to, whether or not its caller
-  /// stays connected. Call on the traffic thread.
+  /// Reserves memory, in bytes, that is used beyond the exchange, for example
+  /// by a job whose caller disconnects. Call on the traffic thread.
   virtual MemoryReservation ReserveMemory(std::size_t bytes) = 0;
-  /// Replies that the request was not run, and counts the limit that it met.
+  /// Replies that the request was not run, and reports the limit that it met.
   /// Call on the traffic thread.
   virtual void RefuseAt(ClientLimit limit) = 0;
   /// `on_disconnect` runs on the traffic thread if the caller resets the
@@ -63,7 +63,7 @@
   void CloseAfterResponses();
   /// Requests whose response has not been written completely.
   std::size_t unanswered() const;
-  /// Lowers the limit on bodies, or raises it again up to that of the server.
+  /// Sets the limit on bodies, in bytes; at most that of `HttpServerLimits`.
   void SetMaxBodyBytes(std::size_t bytes);
   /// `on_limit` runs on the traffic thread when a client has met a limit.
   void SetOnClientLimit(OnClientLimit on_limit);
--- a/src/runtime/peer_links.cc
+++ b/src/runtime/peer_links.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr Duration kMinDialDelay{50};
-/// A frame is sent once it has this size. Peers accept a first frame of up to
-/// twice as much, and no message but a route table is larger than the rest.
+/// Frames end with the message that takes them to this size. A peer's first
+/// frame may have twice as much.
 constexpr std::size_t kMaxFrameBytes = 131'072;
 
 }  // namespace
--- a/src/runtime/step_agent_server.cc
+++ b/src/runtime/step_agent_server.cc
@@ -19,7 +19,7 @@
 constexpr Duration kStopMargin{900};
 /// While leaving, how often it is checked whether all is done.
 constexpr Duration kLeavingCheckInterval{20};
-/// An announcement has some hundred bytes. What it says is kept, and sent on to
+/// An announcement has some hundred bytes. Its labels are kept and sent on to
 /// entries.
 constexpr std::size_t kMaxAnnouncementBytes = 65'536;
 
--- a/src/runtime/step_entry_server.cc
+++ b/src/runtime/step_entry_server.cc
@@ -209,7 +209,7 @@
   loop_.TickWithin(node_.TimeToNextTick(clock_.Now()));
 }
 
-// A limit that no job could meet would turn all callers away.
+// A limit below the shortest job would refuse all callers.
 void StepEntryServer::ApplyBodyLimit() {
   const std::int64_t limit = node_.table().max_body_bytes;
   if (!node_.has_table() || limit == max_body_bytes_) return;
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -34,7 +34,7 @@
   Duration capacity_hold{0};
   /// Calls to the worker to start or stop a run that may be unanswered at once.
   std::size_t max_order_calls = 60;
-  /// Memory of all orders, by an upper estimate. Beyond it none is accepted.
+  /// Memory of all orders, by an upper estimate; orders beyond it are returned.
   std::size_t max_order_bytes = 32U << 20U;
 };
 
@@ -197,10 +197,11 @@
   bool HasMemoryFor(const StartTask& order) const {
     return order_memory_ + EstimateMemory(order) <= options_.max_order_bytes;
   }
+  /// True from three quarters of the limit on, since orders are under way.
   bool IsMemoryFull() const {
     return order_memory_ >= options_.max_order_bytes / 4 * 3;
   }
-  /// Some calls are left to stops, which free capacity.
+  /// A quarter of the calls is reserved for stops, which free capacity.
   bool MayCallToStart() const {
     return open_calls_ <
            options_.max_order_calls - options_.max_order_calls / 4;
@@ -330,7 +331,7 @@
   Resources in_use_;
   std::size_t order_memory_ = 0;
   std::size_t open_calls_ = 0;   ///< Starts and stops that are unanswered.
-  bool starts_delayed_ = false;  ///< For want of calls.
+  bool starts_delayed_ = false;  ///< Until a call ends.
   RunStatistics run_statistics_;
   CapacityHold hold_;
   TimePoint next_heartbeat_;
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -12,7 +12,7 @@
 constexpr char kNoMemory[] = "the agent has no memory for another order";
 /// Memory of an order besides its payload, in all tables.
 constexpr std::size_t kOrderBytes = 2048;
-/// A stop for which no call is left is sent after this long.
+/// A stop is retried after this long if all calls are in use.
 constexpr Duration kStopDelay{2};
 
 }  // namespace
@@ -133,7 +133,7 @@
   lease_end_ = std::max(lease_end_, now + kLeaseDuration);
   ++counters_.starts;
   ++open_calls_;
-  // A start is sent once, so the payload is not needed any more.
+  // An order is started once, so its payload is not needed any more.
   const SharedText payload = std::exchange(attempt.order.payload, {});
   attempt.memory -= payload.size();
   order_memory_ -= payload.size();
