--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cc
@@ -208,9 +208,9 @@
             [](int, const std::string&) {});
   site.RunFor(1000);
   if (is_disrupted) {
-    site.Note("entry-0 is cut from the other entries");
+    site.Note("entry-0 is cut from the other entries and from the store");
     site.SetCut([](const std::string& from, const std::string& to) {
-      return from == "entry-0" && to.starts_with("entry-");
+      return from == "entry-0" && (to.starts_with("entry-") || to == "store");
     });
   }
   site.RunFor(3000);
--- a/review/standins-3/site.cc
+++ b/review/standins-3/site.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <sstream>
 #include <stdexcept>
@@ -48,6 +49,18 @@
 };
 constexpr int kPortsOfKind = 16;
 
+// Ended by a handler if the case itself is told to end.
+constexpr int kMaxProcesses = 64;
+volatile sig_atomic_t started_pids[kMaxProcesses];
+volatile sig_atomic_t started_count = 0;
+
+void EndProcesses(int /*signal*/) {
+  for (int i = 0; i < started_count; ++i) {
+    if (started_pids[i] > 0) kill(started_pids[i], SIGKILL);
+  }
+  _exit(2);
+}
+
 /// The first of a range of free loopback ports.
 unsigned short FindPorts(int count) {
   const int first = 20000 + static_cast<int>(getpid()) % 200 * 180 % 11000;
@@ -127,6 +140,9 @@
       io_(1),
       record_(options_.folder + "/record.txt"),
       base_port_(FindPorts(kKinds * kPortsOfKind)) {
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    std::signal(signal, EndProcesses);
+  }
   is_cut_ = [this](const std::string& from, const std::string& to) {
     return cut_ && (cut_(from, to) || cut_(to, from));
   };
@@ -155,6 +171,7 @@
   for (const auto& [machine, pid] : pids_) {
     kill(pid, SIGKILL);
     waitpid(pid, nullptr, 0);
+    Forget(pid);
   }
   std::error_code ignored;
   if (getenv("KEEP") == nullptr) {
@@ -244,6 +261,10 @@
                                 argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) throw std::runtime_error("cannot start " + program);
+  if (started_count < kMaxProcesses) {
+    started_pids[started_count] = pid;
+    started_count = started_count + 1;
+  }
   pids_[machine] = pid;
   origins_.Add(machine, pid);
 }
@@ -253,9 +274,16 @@
   kill(pids_.at(machine), signal);
 }
 
+void Site::Forget(pid_t pid) {
+  for (int i = 0; i < started_count; ++i) {
+    if (started_pids[i] == pid) started_pids[i] = 0;
+  }
+}
+
 void Site::Kill(const std::string& machine) {
   Signal(machine, SIGKILL);
   waitpid(pids_.at(machine), nullptr, 0);
+  Forget(pids_.at(machine));
   pids_.erase(machine);
 }
 
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -116,6 +116,8 @@
   void Hold(Worker& worker, const ExchangePtr& exchange, const Json& body,
             geranium::TimePoint until);
   void UpdateRuns();
+  /// The process has ended: its id is not to be signalled any more.
+  static void Forget(pid_t pid);
 
   SiteOptions options_;
   geranium::SystemClock clock_;
