--- a/review/standins-3/client.h
+++ b/review/standins-3/client.h
@@ -1,6 +1,10 @@
 #ifndef GERANIUM_REVIEW_STANDINS_3_CLIENT_H_
 #define GERANIUM_REVIEW_STANDINS_3_CLIENT_H_
 
+// clang-format off
+#include <utility>  // Before Boost.Asio 1.74, which needs std::exchange.
+// clang-format on
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/review/standins-3/network.h
+++ b/review/standins-3/network.h
@@ -1,6 +1,10 @@
 #ifndef GERANIUM_REVIEW_STANDINS_3_NETWORK_H_
 #define GERANIUM_REVIEW_STANDINS_3_NETWORK_H_
 
+// clang-format off
+#include <utility>  // Before Boost.Asio 1.74, which needs std::exchange.
+// clang-format on
+
 #include <sys/types.h>
 
 #include <array>
@@ -29,7 +33,8 @@
 };
 
 /// Says whether packets from one machine to another are lost.
-using IsCut = std::function<bool(const std::string& from, const std::string& to)>;
+using IsCut =
+    std::function<bool(const std::string& from, const std::string& to)>;
 
 /// A forwarder in front of one listener of a machine. While the path is cut,
 /// bytes are held back, new connections time out, and a reset by one side does
--- a/review/standins-3/cases.h
+++ b/review/standins-3/site_cases.h
@@ -1,5 +1,5 @@
-#ifndef GERANIUM_REVIEW_STANDINS_3_CASES_H_
-#define GERANIUM_REVIEW_STANDINS_3_CASES_H_
+#ifndef GERANIUM_REVIEW_STANDINS_3_SITE_CASES_H_
+#define GERANIUM_REVIEW_STANDINS_3_SITE_CASES_H_
 
 #include <string>
 
@@ -10,4 +10,4 @@
 
 }  // namespace review
 
-#endif  // GERANIUM_REVIEW_STANDINS_3_CASES_H_
+#endif  // GERANIUM_REVIEW_STANDINS_3_SITE_CASES_H_
