--- a/review/standins-3/site_cases.cc
+++ b/review/standins-3/site_cases.cc
@@ -98,12 +98,12 @@
 /// and of which one more copy arrives later.
 struct Copies {
   std::string id;
+  int another = 0;  ///< The entry that gets the first request, and the copy.
   std::vector<std::shared_ptr<Request>> requests;
 };
 
 struct CopyCase {
-  int holder = 0;   ///< The entry that is cut off.
-  int another = 0;  ///< Gets the first request, and the copy.
+  int holder = 0;  ///< The entry that has the jobs and is cut off.
   int cut_ms = 0;
   int copy_after_ms = 0;  ///< From the beginning of the cut.
   IsCut is_cut;
@@ -112,9 +112,10 @@
 
 int PlayCopies(const std::string& folder, bool is_disrupted,
                const CopyCase& played) {
-  Site site({4, 11, 32, folder});
+  constexpr int kEntries = 4;
+  Site site({kEntries, 11, 32, folder});
   if (!Begin(site)) return kCannotRun;
-  constexpr int kJobs = 3;
+  constexpr int kJobs = kEntries - 1;
   constexpr int kDeadlineMs = 25'000;
   constexpr int kBreaksAfterMs = 200;
   const std::string body = JobBody(1, 4, 5000);
@@ -124,9 +125,11 @@
                                      kPrefix + job.id, body, kDeadlineMs,
                                      [](int, const std::string&) {}));
   };
+  int number = 0;
   for (Copies& job : jobs) {
     job.id = NewJobId();
-    send(job, played.another, "client of ");
+    job.another = (played.holder + ++number) % kEntries;
+    send(job, job.another, "client of ");
   }
   site.RunFor(kBreaksAfterMs);
   for (Copies& job : jobs) {
@@ -142,7 +145,7 @@
   }
   site.RunFor(played.copy_after_ms);
   for (Copies& job : jobs) {
-    send(job, played.another, "a late copy of the request of ");
+    send(job, job.another, "a late copy of the request of ");
   }
   site.RunFor(played.cut_ms - played.copy_after_ms);
   if (is_disrupted) {
@@ -163,17 +166,14 @@
 
 // Agents and clients reach the entry all the while.
 int CutApart(const std::string& folder, bool is_disrupted) {
-  CopyCase played{0, 1, 5500, 2500, IsCoreCut, kCoreCutNote};
+  CopyCase played{0, 5500, 2500, IsCoreCut, kCoreCutNote};
   return PlayCopies(folder, is_disrupted, played);
 }
 
 // Clients reach the entry all the while; its jobs end with the loss of its
 // agents, and the copy is started elsewhere.
 int IsolatedEntry(const std::string& folder, bool is_disrupted) {
-  CopyCase played{3,
-                  1,
-                  5500,
-                  2500,
+  CopyCase played{3, 5500, 2500,
                   [](const std::string& from, const std::string& to) {
                     return from == "entry-3" && to != "outside";
                   },
