--- a/src/entry/step_entry_handovers.cc
+++ b/src/entry/step_entry_handovers.cc
@@ -5,12 +5,6 @@
 
 namespace geranium {
 
-bool StepEntryNode::IsLost(Incarnation entry, TimePoint now) const {
-  const auto heard = entry_heard_.find(entry);
-  return heard == entry_heard_.end() ||
-         now - heard->second > StepScheduler::kWorkerLostTimeout;
-}
-
 bool StepEntryNode::BeginHandover(const StepJobId& job, TimePoint now) {
   Handover handover;
   handover.is_query_due = HasMissedAnnouncements(now);
@@ -207,8 +201,7 @@
 
 // An entry that was killed, froze or lost its machine sends no heartbeats to
 // its agents either, so its runs end within the timeout for a lost worker. One
-// that is cut off from this entry alone still sends them: if it has not noticed
-// that its caller disconnected, a task may run at both (docs/PLATFORM.md).
+// that is cut off from this entry alone still sends them, and is waited for.
 void StepEntryNode::CheckHandovers(TimePoint now) {
   // Nobody here waits for these, and which others may have them is known.
   std::erase_if(handovers_, [&](const auto& item) {
@@ -220,8 +213,7 @@
   std::vector<StepJobId> ended;
   for (auto& [job, handover] : handovers_) {
     if (!handover.from || handover.from == options_.incarnation) continue;
-    const Duration silence = now - entry_heard_[*handover.from];
-    if (silence > StepScheduler::kWorkerLostTimeout) {
+    if (IsLost(*handover.from, now)) {
       ended.push_back(job);
     } else if (now - handover.requested_at > kHandoverRetryInterval) {
       // The request or its answer was lost with a previous link.
--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -65,6 +65,8 @@
 void StepEntryNode::ReannounceJobs(TimePoint now) {
   if (now < next_reannouncement_) return;
   next_reannouncement_ = now + kReannounceInterval;
+  // One that is cut off cannot announce its open jobs.
+  if (IsAnyCutOff(now)) known_jobs_.KeepAll(now);
   for (const StepJobId& job : scheduler_.OpenJobs(now - kReannounceInterval)) {
     unannounced_.push_back(job);
   }
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -155,6 +155,7 @@
   if (peer->second.hello) {
     if (peer->second.hello->role == ProcessRole::kEntry) {
       entry_heard_[peer->second.hello->incarnation] = now;
+      entry_heard_here_[peer->second.hello->incarnation] = now;
     } else {
       scheduler_.OnLinkActivity(link, now);
     }
@@ -176,6 +177,7 @@
   }
   entry_links_[hello.incarnation] = link;
   entry_heard_[hello.incarnation] = now;
+  entry_heard_here_[hello.incarnation] = now;
   ReadFromStart(hello.incarnation, now);
   SendOpenJobs(link, now);
   SendCancelledJobs(link);
@@ -279,6 +281,7 @@
   SendNewMembers(now);
   CloseSilentLinks(now);
   SendHeartbeats(now);
+  SendSilentEntries(now);
   scheduler_.OnTick(now);
   known_jobs_.Expire(now);
   cancelled_jobs_.Expire(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -77,7 +77,11 @@
   /// received meanwhile.
   static constexpr Duration kMaxPeerSilence =
       kMaxStandstill + kPeerHeartbeatInterval;
-
+  /// Other entries are asked about one that was not heard from for this long,
+  /// with each heartbeat to them ...
+  static constexpr Duration kSilenceBeforeQuery = kPeerHeartbeatInterval * 2;
+  /// ... and more often, at `kHeartbeatInterval`, from this long on.
+  static constexpr Duration kSilenceBeforeUrgentQuery = kMaxStandstill;
   explicit StepEntryNode(StepEntryOptions options);
   StepEntryNode(const StepEntryNode&) = delete;
   StepEntryNode& operator=(const StepEntryNode&) = delete;
@@ -204,6 +208,8 @@
   void On(LinkId link, const JobHoldersQuery& query, TimePoint now);
   void On(LinkId link, const JobHolders& holders, TimePoint now);
   void On(LinkId link, const JobsCancelled& cancelled, TimePoint now);
+  void On(LinkId link, const EntriesHeard& heard, TimePoint now);
+  void On(LinkId link, const EntriesSilent& silent, TimePoint now);
   void On(LinkId link, const WorkerCard& card, TimePoint now);
   void On(LinkId link, const WorkerReport& report, TimePoint now);
   void On(LinkId link, const AttemptList& list, TimePoint now);
@@ -230,7 +236,13 @@
   void EndQueryIfDone(const StepJobId& job, TimePoint now);
   /// Goes on with the next entry that may have runs of the job, if any.
   void ContinueHandover(const StepJobId& job, TimePoint now);
+  /// True if the entry can have no runs left.
   bool IsLost(Incarnation entry, TimePoint now) const;
+  /// True if all links to other entries are down, while agents hear some.
+  bool IsCutFromEntries(TimePoint now) const;
+  /// True if an entry that may have runs is not linked.
+  bool IsAnyCutOff(TimePoint now) const;
+  void SendSilentEntries(TimePoint now);
   Handover* FindHandover(const StepJobId& job, LinkId sender);
   bool AskNextHolder(const StepJobId& job, Handover handover, TimePoint now);
   void SendHandoverRequest(const StepJobId& job, const Handover& handover);
@@ -273,7 +285,10 @@
   StepScheduler scheduler_;
   std::map<LinkId, Peer> peers_;
   std::map<Incarnation, LinkId> entry_links_;
+  /// When any process that can be reached has last heard from these.
   std::map<Incarnation, TimePoint> entry_heard_;
+  /// When this entry, or an agent linked to it, has.
+  std::map<Incarnation, TimePoint> entry_heard_here_;
   /// Of what these sent before the start, or the end of the last standstill,
   /// some may not have been read yet: they may have jobs that this entry does
   /// not know of.
@@ -291,6 +306,7 @@
   TimePoint next_heartbeat_;
   TimePoint next_peer_heartbeat_;
   TimePoint last_peer_heartbeat_ = TimePoint::Never();
+  TimePoint next_silence_query_;
   TimePoint next_announcement_;
   TimePoint next_reannouncement_;
   std::optional<TimePoint> leave_deadline_;
--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -40,7 +40,9 @@
     "worker_crashed",
     "jobs_cancelled",
     "job_holders_query",
-    "job_holders"};
+    "job_holders",
+    "entries_heard",
+    "entries_silent"};
 
 }  // namespace
 
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -184,6 +184,37 @@
   }
 };
 
+struct EntryHeard {
+  Incarnation entry;
+  Duration age;  ///< Since its last heartbeat arrived.
+
+  template <class A>
+  void Fields(A& a) {
+    a(entry)(age);
+  }
+};
+
+/// Entries that the sender, or an agent linked to it, has heard from. Agents
+/// send it with their heartbeats, entries in answer to `EntriesSilent`.
+struct EntriesHeard {
+  std::vector<EntryHeard> entries;
+
+  template <class A>
+  void Fields(A& a) {
+    a(entries);
+  }
+};
+
+/// Entries that neither the sender nor an agent linked to it hears from.
+struct EntriesSilent {
+  std::vector<Incarnation> entries;
+
+  template <class A>
+  void Fields(A& a) {
+    a(entries);
+  }
+};
+
 /// Jobs that the sending entry has accepted, so that a job resubmitted to
 /// another entry is not run twice at the same time.
 struct JobsAccepted {
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -190,6 +190,7 @@
     LinkId link;
     bool linked = false;
     TimePoint last_alive_at = TimePoint::Never();  ///< Known to be alive then.
+    TimePoint last_heartbeat_at = TimePoint::Never();  ///< Received then.
     std::map<AttemptId, TaskEnd> unacknowledged;
   };
 
@@ -263,6 +264,7 @@
   /// Name of the entry that ordered the run, for the log.
   std::string EntryNameOf(const Attempt& attempt) const;
   void SendHeartbeats(TimePoint now);
+  EntriesHeard ListHeardEntries(TimePoint now) const;
   void SendReports(TimePoint now);
   void SendReport(LinkId link, Peer& peer, TimePoint now);
   void ExpireHolds(TimePoint now);
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -21,6 +21,8 @@
 /// A run that should have ended is expected to end at any moment; 0 would say
 /// that a core is free.
 constexpr Duration kMinRemaining{1};
+/// Others count an entry that was not heard from for this long as lost.
+constexpr Duration kMaxHeardAge{1500};
 
 }  // namespace
 
@@ -164,13 +166,13 @@
       }));
 }
 
-void WorkerSession::On(LinkId link, const Heartbeat& heartbeat,
-                       TimePoint /*now*/) {
+void WorkerSession::On(LinkId link, const Heartbeat& heartbeat, TimePoint now) {
   Peer& peer = peers_[link];
   peer.last_heartbeat_sent_at = heartbeat.sent_at;
-  if (!peer.hello || !heartbeat.echo) return;
+  if (!peer.hello) return;
   Entry& entry = entries_[peer.hello->incarnation];
-  if (entry.link == link) {
+  entry.last_heartbeat_at = now;
+  if (entry.link == link && heartbeat.echo) {
     entry.last_alive_at = std::max(entry.last_alive_at, *heartbeat.echo);
   }
 }
@@ -186,12 +188,26 @@
 void WorkerSession::SendHeartbeats(TimePoint now) {
   if (now < next_heartbeat_) return;
   next_heartbeat_ = now + kHeartbeatInterval;
+  const EntriesHeard heard = ListHeardEntries(now);
   for (const auto& [link, peer] : peers_) {
     Send(link, Heartbeat{now, peer.last_heartbeat_sent_at, Version(0),
                          std::nullopt, std::nullopt});
+    // Of the only one it has heard from, the entry knows itself.
+    if (heard.entries.size() > 1) Send(link, heard);
   }
 }
 
+// Lets entries that are cut off from each other know that the other one still
+// has its runs here.
+EntriesHeard WorkerSession::ListHeardEntries(TimePoint now) const {
+  EntriesHeard heard;
+  for (const auto& [incarnation, entry] : entries_) {
+    const Duration age = now - entry.last_heartbeat_at;
+    if (age <= kMaxHeardAge) heard.entries.push_back({incarnation, age});
+  }
+  return heard;
+}
+
 // A task's end makes a frame for its entry anyway, so a report goes with it.
 // The other entries get one report for all changes within an interval.
 // Heartbeats that are due soon share these frames.
--- /dev/null
+++ b/tests/step_entry_cut_off_test.cc
@@ -0,0 +1,149 @@
+#include "step_entry_node_fixture.h"
+
+namespace geranium {
+namespace {
+
+/// An entry, two others that may be cut off from it, and an agent.
+class StepEntryCutOffTest : public StepEntryNodeTest {
+ protected:
+  static constexpr Duration kStep{100};
+
+  /// Who is heard from, and what they tell of the second entry.
+  struct Contacts {
+    bool second = true;
+    bool third = true;
+    bool agent = true;
+    std::optional<Duration> agent_heard_second = {};
+    std::optional<Duration> third_heard_second = {};
+  };
+
+  void Pass(Duration span, const Contacts& contacts) {
+    for (const TimePoint end = now_ + span; now_ < end;) {
+      if (contacts.second) Beat(kSecond);
+      if (contacts.third) Beat(kThird);
+      if (contacts.agent) Beat(kAgent);
+      TellOfSecond(kAgent, contacts.agent_heard_second);
+      TellOfSecond(kThird, contacts.third_heard_second);
+      Advance(kStep);
+    }
+  }
+
+  void Beat(LinkId link) {
+    Receive(link,
+            Heartbeat{now_, now_, Version(1), std::nullopt, std::nullopt});
+  }
+
+  void TellOfSecond(LinkId link, std::optional<Duration> age) {
+    if (!age) return;
+    Receive(link, EntriesHeard{{{IncarnationAt(kSecond), *age}}});
+  }
+
+  /// The second entry announces the job, and its link is lost.
+  void LoseHolder() {
+    Receive(kSecond, JobsAccepted{{job_}});
+    node_.OnLinkDown(kSecond, now_);
+  }
+
+  static Contacts WithoutSecond() {
+    Contacts contacts;
+    contacts.second = false;
+    return contacts;
+  }
+};
+
+// Guards against a job that is started beside its runs at an entry which only
+// this one does not hear from (review/11).
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode sent a job of an entry that only agents hear "
+                 "waits for that entry") {
+  LoseHolder();
+  Contacts contacts = WithoutSecond();
+  contacts.agent_heard_second = Duration(50);
+  Pass(Duration(5000), contacts);
+  ReportFreeWorker();
+  Submit(1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+  Pass(Duration(3000), contacts);
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).empty());
+  LinkEntry(kSecond);
+  CHECK(Sent<JobHandoverRequest>(kSecond).size() == 1);
+  Receive(kSecond, JobHandedOver{job_});
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode sent a job of an entry that only another entry "
+                 "hears waits for that entry") {
+  LoseHolder();
+  Contacts contacts = WithoutSecond();
+  contacts.third_heard_second = Duration(50);
+  Pass(Duration(5000), contacts);
+  ReportFreeWorker();
+  Submit(1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+}
+
+// Its runs have ended 1.5 s after agents last heard from it, whenever they
+// tell.
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode sent a job of an entry that agents hear no "
+                 "longer starts it once that entry counts as lost") {
+  LoseHolder();
+  Submit(1);
+  Contacts contacts = WithoutSecond();
+  for (std::int64_t age = 100; age < 1500; age += 100) {
+    contacts.agent_heard_second = Duration(age);
+    contacts.third_heard_second = Duration(age);
+    Pass(kStep, contacts);
+    ReportFreeWorker();
+    CHECK(Sent<StartTask>(kAgent).empty());
+  }
+  Pass(Duration(300), WithoutSecond());
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that does not hear an entry asks the others of "
+                 "it until it counts as lost") {
+  node_.OnLinkDown(kSecond, now_);
+  Pass(Duration(400), WithoutSecond());
+  CHECK(Sent<EntriesSilent>(kThird).empty());
+  Pass(Duration(400), WithoutSecond());
+  const auto asked = Sent<EntriesSilent>(kThird);
+  REQUIRE_FALSE(asked.empty());
+  CHECK(asked[0].entries == std::vector{IncarnationAt(kSecond)});
+  Pass(Duration(2000), WithoutSecond());
+  actions_.clear();
+  Pass(Duration(2000), WithoutSecond());
+  CHECK(Sent<EntriesSilent>(kThird).empty());
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode asked of a silent entry tells when it or its "
+                 "agents last heard it, but not what it was told itself") {
+  const EntriesSilent question{{IncarnationAt(kSecond)}};
+  Pass(Duration(600), WithoutSecond());
+  Receive(kThird, question);
+  const auto answers = Sent<EntriesHeard>(kThird);
+  REQUIRE(answers.size() == 1);
+  REQUIRE(answers[0].entries.size() == 1);
+  CHECK(answers[0].entries[0].entry == IncarnationAt(kSecond));
+  CHECK(answers[0].entries[0].age >= Duration(600));
+  SECTION("an agent has heard it since") {
+    TellOfSecond(kAgent, Duration(20));
+    Receive(kThird, question);
+    CHECK(Sent<EntriesHeard>(kThird).back().entries[0].age == Duration(20));
+  }
+  SECTION("another entry has heard it since") {
+    TellOfSecond(kThird, Duration(20));
+    Pass(Duration(1500), WithoutSecond());
+    actions_.clear();
+    Receive(kThird, question);
+    CHECK(Sent<EntriesHeard>(kThird).empty());
+  }
+}
+
+}  // namespace
+}  // namespace geranium
