--- a/src/entry/step_entry_contact.cc
+++ b/src/entry/step_entry_contact.cc
@@ -3,7 +3,8 @@
 #include "entry/step_entry_node.h"
 
 // Which other processes an entry is in contact with. Entries that are cut off
-// from each other may still reach the same agents.
+// from each other may still reach the same agents, and an entry that is cut off
+// from all others has to conclude from that what those do.
 
 namespace geranium {
 
@@ -14,7 +15,7 @@
   const auto heard = entry_heard_.find(entry);
   if (heard == entry_heard_.end()) return true;
   if (now - heard->second <= StepScheduler::kWorkerLostTimeout) return false;
-  return !IsCutFromEntries(now);
+  return !is_cut_off_ && !IsCutFromEntries(now);
 }
 
 // At sites with many entries an agent is linked to a few of them, so that what
@@ -67,7 +68,7 @@
 }
 
 void StepEntryNode::SendSilentEntries(TimePoint now) {
-  if (now < next_silence_query_ || entry_links_.empty()) return;
+  if (is_cut_off_ || now < next_silence_query_ || entry_links_.empty()) return;
   EntriesSilent silent;
   Duration interval = kPeerHeartbeatInterval;
   for (const auto& [entry, heard] : entry_heard_) {
@@ -84,4 +85,31 @@
   for (const auto& [entry, link] : entry_links_) Send(link, silent);
 }
 
+// Where no other entry is known, nobody can take the jobs over.
+void StepEntryNode::AbandonJobsIfUnheard(TimePoint now) {
+  if (is_cut_off_ || entry_heard_.empty() ||
+      heard_by_others_at_ == TimePoint::Never() ||
+      now - heard_by_others_at_ <= kMaxUnheard) {
+    return;
+  }
+  is_cut_off_ = true;
+  const std::size_t abandoned = scheduler_.AbandonOpenJobs(
+      "the entry is cut off and another may have taken the job over", now);
+  CollectActions(now);
+  Log(LogLevel::kWarning, "cut_off",
+      {{"unheard_ms", std::to_string((now - heard_by_others_at_).ms())},
+       {"abandoned_jobs", std::to_string(abandoned)}});
+}
+
+// After that an entry knows as little of the jobs of others as one that
+// has just started.
+void StepEntryNode::OnHeardByOthers(TimePoint sent_at, TimePoint now) {
+  heard_by_others_at_ = std::max(heard_by_others_at_, sent_at);
+  if (!is_cut_off_ || now - sent_at > kMaxUnheard) return;
+  is_cut_off_ = false;
+  BeginStart(now);
+  CatchUp(now);
+  Log(LogLevel::kInfo, "reachable_again", {});
+}
+
 }  // namespace geranium
--- a/src/entry/step_entry_heartbeats.cc
+++ b/src/entry/step_entry_heartbeats.cc
@@ -12,6 +12,7 @@
       from_entry && (!peer.newest_sent_at ||
                      heartbeat.sent_at - *peer.newest_sent_at > kMaxStandstill);
   peer.newest_sent_at = heartbeat.sent_at;
+  if (peer.hello && heartbeat.echo) OnHeardByOthers(*heartbeat.echo, now);
   if (awaits_echo) SendHeartbeat(link, peer, now);
   // Sent after all that it had sent before.
   if (peer.hello && heartbeat.echo && *heartbeat.echo >= standstill_end_) {
--- a/src/entry/step_entry_known_jobs.cc
+++ b/src/entry/step_entry_known_jobs.cc
@@ -82,6 +82,11 @@
   }
 }
 
+void StepEntryNode::AbandonLostJobs(TimePoint now) {
+  AbandonJobsAfterStandstill(now);
+  AbandonJobsIfUnheard(now);
+}
+
 // Agents have stopped the runs of these jobs. Their callers may have sent them
 // to another entry, which starts them once this one has been silent for
 // `kWorkerLostTimeout`.
@@ -93,21 +98,27 @@
                           now - last_peer_heartbeat_ >= kMaxPeerSilence;
   if (now - last_active < kMaxStandstill && !was_silent) return;
   last_peer_heartbeat_ = now;
+  heard_by_others_at_ = now;
   const std::size_t abandoned = scheduler_.AbandonOpenJobs(
       "the entry stood still and another may have taken the job over", now);
   CollectActions(now);
-  // What the others sent meanwhile has not been read yet.
-  for (auto& [entry, heard] : entry_heard_) heard = now;
   // Links that were not up yet are not known to be unread.
   if (IsStarting(last_active)) BeginStart(now);
+  CatchUp(now);
+  Log(LogLevel::kWarning, "stood_still",
+      {{"standstill_ms", std::to_string((now - last_active).ms())},
+       {"abandoned_jobs", std::to_string(abandoned)}});
+}
+
+// What the others sent meanwhile has not been read yet, and their silence says
+// nothing.
+void StepEntryNode::CatchUp(TimePoint now) {
+  for (auto& [entry, heard] : entry_heard_) heard = now;
   standstill_end_ = now;
   for (const auto& [entry, link] : entry_links_) unread_entries_.insert(entry);
   known_jobs_.KeepAll(now);
   cancelled_jobs_.KeepAll(now);
   RestartQueries(now);
-  Log(LogLevel::kWarning, "stood_still",
-      {{"standstill_ms", std::to_string((now - last_active).ms())},
-       {"abandoned_jobs", std::to_string(abandoned)}});
 }
 
 }  // namespace geranium
--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -43,7 +43,7 @@
 
 void StepEntryNode::OnSubmission(CallerHandle caller, StepSubmission submission,
                                  TimePoint now) {
-  AbandonJobsAfterStandstill(now);
+  AbandonLostJobs(now);
   const StepJobId id = submission.job.id;
   const auto refuse = [&](StepAnswer answer, const std::string& reason) {
     Log(LogLevel::kInfo, "job_refused",
@@ -74,6 +74,11 @@
            "this entry is leaving and may not finish the job in time");
     return;
   }
+  if (is_cut_off_) {
+    refuse(StepAnswer::kAbandoned,
+           "this entry is cut off from all other processes");
+    return;
+  }
   if (IsCancelled(id)) {
     refuse(StepAnswer::kFailed, "the job was cancelled");
     return;
@@ -104,7 +109,7 @@
 }
 
 bool StepEntryNode::IsReady(TimePoint now) const {
-  return !leave_deadline_ && has_table() &&
+  return !leave_deadline_ && has_table() && !is_cut_off_ &&
          scheduler_.accepting_workers(now) > 0;
 }
 
@@ -148,7 +153,7 @@
 
 void StepEntryNode::OnMessage(LinkId link, const Message& message,
                               TimePoint now) {
-  AbandonJobsAfterStandstill(now);
+  AbandonLostJobs(now);
   const auto peer = peers_.find(link);
   if (peer == peers_.end()) return;
   peer->second.last_heard = now;
@@ -275,7 +280,7 @@
 // ---- time
 
 void StepEntryNode::OnTick(TimePoint now) {
-  AbandonJobsAfterStandstill(now);
+  AbandonLostJobs(now);
   scheduler_.SetDiscovering(now - started_at_ < kWorkerDiscoveryTime);
   CheckHandovers(now);
   SendNewMembers(now);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -77,11 +77,20 @@
   /// received meanwhile.
   static constexpr Duration kMaxPeerSilence =
       kMaxStandstill + kPeerHeartbeatInterval;
+  /// An entry that nobody is known to have heard for this long gives its jobs
+  /// up: others may take them over `kWorkerLostTimeout` after that.
+  static constexpr Duration kMaxUnheard = kMaxPeerSilence;
   /// Other entries are asked about one that was not heard from for this long,
   /// with each heartbeat to them ...
   static constexpr Duration kSilenceBeforeQuery = kPeerHeartbeatInterval * 2;
   /// ... and more often, at `kHeartbeatInterval`, from this long on.
   static constexpr Duration kSilenceBeforeUrgentQuery = kMaxStandstill;
+  // What an entry orders just before it gives its jobs up is known to others in
+  // time: an agent tells that it has heard the entry with its next heartbeat,
+  // and an entry tells it with the answer to the next query.
+  static_assert(kMaxUnheard + kHeartbeatInterval * 2 <
+                StepScheduler::kWorkerLostTimeout);
+
   explicit StepEntryNode(StepEntryOptions options);
   StepEntryNode(const StepEntryNode&) = delete;
   StepEntryNode& operator=(const StepEntryNode&) = delete;
@@ -218,7 +227,15 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
+  /// Gives up jobs that other entries may have taken over. To be called before
+  /// anything else is done in an event.
+  void AbandonLostJobs(TimePoint now);
   void AbandonJobsAfterStandstill(TimePoint now);
+  void AbandonJobsIfUnheard(TimePoint now);
+  /// Another process has received what this one sent at `sent_at`.
+  void OnHeardByOthers(TimePoint sent_at, TimePoint now);
+  /// What others have done meanwhile is not known.
+  void CatchUp(TimePoint now);
   /// Returns false if no other entry can have runs of the job.
   bool BeginHandover(const StepJobId& job, TimePoint now);
   void BeginQuery(const StepJobId& job, Handover handover, TimePoint now);
@@ -289,6 +306,10 @@
   std::map<Incarnation, TimePoint> entry_heard_;
   /// When this entry, or an agent linked to it, has.
   std::map<Incarnation, TimePoint> entry_heard_here_;
+  /// Other processes have heard this entry until then, or it has given its jobs
+  /// up since.
+  TimePoint heard_by_others_at_ = TimePoint::Never();
+  bool is_cut_off_ = false;  ///< Not heard by others for `kMaxUnheard`.
   /// Of what these sent before the start, or the end of the last standstill,
   /// some may not have been read yet: they may have jobs that this entry does
   /// not know of.
--- a/src/entry/step_entry_queries.cc
+++ b/src/entry/step_entry_queries.cc
@@ -48,7 +48,7 @@
 }
 
 bool StepEntryNode::HasMissedAnnouncements(TimePoint now) const {
-  return IsStarting(now) || !UnreadEntries(now).empty();
+  return is_cut_off_ || IsStarting(now) || !UnreadEntries(now).empty();
 }
 
 void StepEntryNode::BeginStart(TimePoint now) {
@@ -163,6 +163,7 @@
 }
 
 void StepEntryNode::EndQueryIfDone(const StepJobId& job, TimePoint now) {
+  if (is_cut_off_) return;
   Handover& handover = handovers_.at(job);
   std::erase_if(handover.queried,
                 [&](Incarnation entry) { return IsLost(entry, now); });
--- a/tests/step_entry_cut_off_test.cc
+++ b/tests/step_entry_cut_off_test.cc
@@ -49,6 +49,8 @@
     contacts.second = false;
     return contacts;
   }
+
+  static constexpr Contacts Nobody() { return {false, false, false, {}, {}}; }
 };
 
 // Guards against a job that is started beside its runs at an entry which only
@@ -145,5 +147,78 @@
   }
 }
 
+// Guards against an entry that was cut off and orders the tasks of its jobs
+// anew, beside the entries that have taken them over (review/12).
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that nobody hears gives its jobs up before "
+                 "others may take them over") {
+  tasks_ = 40;  // More than the worker can run at once.
+  Submit(1);
+  const std::size_t ordered = Sent<StartTask>(kAgent).size();
+  REQUIRE(ordered > 0);
+  REQUIRE(ordered < 40);
+  Pass(Duration(1100), Nobody());
+  CHECK_FALSE(AnswerTo(1));
+  Pass(Duration(200), Nobody());
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+  ReportFreeWorker();
+  Beat(kAgent);
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).size() == ordered);
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that hears others, but is heard by nobody, "
+                 "gives its jobs up") {
+  Submit(1);
+  const TimePoint last_heard = now_;
+  for (int i = 0; i < 14; ++i) {
+    for (const LinkId link : {kSecond, kThird, kAgent}) {
+      Receive(link, Heartbeat{now_, last_heard, Version(1), std::nullopt,
+                              std::nullopt});
+    }
+    Advance(kStep);
+  }
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that only an agent hears keeps its jobs") {
+  Submit(1);
+  Contacts contacts = Nobody();
+  contacts.agent = true;
+  Pass(Duration(3000), contacts);
+  CHECK_FALSE(AnswerTo(1));
+}
+
+// "Not run" could be wrong: another entry may have a copy.
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that nobody hears answers a job at once, and "
+                 "not that it never runs") {
+  Pass(Duration(2000), Nobody());
+  Submit(1);
+  CHECK(AnswerTo(1) == StepAnswer::kAbandoned);
+  CHECK_FALSE(node_.IsReady(now_));
+}
+
+TEST_CASE_METHOD(StepEntryCutOffTest,
+                 "StepEntryNode that was cut off asks others of a job before "
+                 "it starts the job") {
+  Pass(Duration(2000), Nobody());
+  node_.OnLinkDown(kSecond, now_);
+  node_.OnLinkDown(kThird, now_);
+  Beat(kAgent);
+  ReportFreeWorker();
+  Submit(1);
+  CHECK(Sent<StartTask>(kAgent).empty());
+  LinkEntry(kSecond);
+  const auto queries = Sent<JobHoldersQuery>(kSecond);
+  REQUIRE_FALSE(queries.empty());
+  Advance(Duration(60));
+  Receive(kSecond, JobHolders{job_, queries.back().sent_at, {}, true});
+  ReportFreeWorker();
+  CHECK(Sent<StartTask>(kAgent).size() == 1);
+}
+
 }  // namespace
 }  // namespace geranium
