--- a/src/entry/step_entry_node.cc
+++ b/src/entry/step_entry_node.cc
@@ -246,7 +246,8 @@
                                  const std::string& source, TimePoint now) {
   const bool newer = table.offset > table_.offset || !has_table();
   if (!newer || table.version < table_.version) return;
-  table_ = table;
+  const RouteTable previous = std::exchange(table_, table);
+  UpdateDataCentres(previous, now);
   std::string out;
   for (const DataCentreName& name : table.data_centres_out) {
     out += (out.empty() ? "" : ",") + name.value();
@@ -262,8 +263,34 @@
 }
 
 void StepEntryNode::On(LinkId link, const WorkerCard& card, TimePoint now) {
+  peers_[link].data_centre = card.data_centre;
+  const auto update = data_centre_updates_.find(card.data_centre);
+  if (update != data_centre_updates_.end()) Send(link, update->second);
   scheduler_.On(link, card, now);
 }
+void StepEntryNode::UpdateDataCentres(const RouteTable& previous,
+                                      TimePoint now) {
+  const auto update = [&](const DataCentreName& name, bool out) {
+    data_centre_updates_[name] = DataCentreUpdate{name, table_.offset, out};
+    TellDataCentre(data_centre_updates_[name], now);
+  };
+  for (const DataCentreName& name : table_.data_centres_out) update(name, true);
+  for (const DataCentreName& name : previous.data_centres_out) {
+    if (!table_.IsOutOfService(name)) update(name, false);
+  }
+}
+
+// Behind a heartbeat with the new table's offset: agents return the orders of
+// an entry that has an older one.
+void StepEntryNode::TellDataCentre(const DataCentreUpdate& update,
+                                   TimePoint now) {
+  for (auto& [link, peer] : peers_) {
+    if (peer.data_centre != update.data_centre) continue;
+    SendHeartbeat(link, peer, now);
+    Send(link, update);
+  }
+}
+
 void StepEntryNode::On(LinkId link, const WorkerReport& report, TimePoint now) {
   scheduler_.On(link, report, now);
 }
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -167,6 +167,7 @@
     /// Sent with the next message or heartbeat.
     std::vector<TaskEndAck> acknowledgements;
     bool pull_sent = false;
+    std::optional<DataCentreName> data_centre;  ///< Of an agent's worker.
   };
   /// A job that this or another entry has or had.
   struct KnownJob {
@@ -260,6 +261,8 @@
   /// True if an entry that may have runs is not linked.
   bool IsAnyCutOff(TimePoint now) const;
   void SendSilentEntries(TimePoint now);
+  void UpdateDataCentres(const RouteTable& previous, TimePoint now);
+  void TellDataCentre(const DataCentreUpdate& update, TimePoint now);
   Handover* FindHandover(const StepJobId& job, LinkId sender);
   bool AskNextHolder(const StepJobId& job, Handover handover, TimePoint now);
   void SendHandoverRequest(const StepJobId& job, const Handover& handover);
@@ -330,6 +333,8 @@
   TimePoint next_silence_query_;
   TimePoint next_announcement_;
   TimePoint next_reannouncement_;
+  /// Of data centres that were out of service since this process started.
+  std::map<DataCentreName, DataCentreUpdate> data_centre_updates_;
   std::optional<TimePoint> leave_deadline_;
   TimePoint started_at_ = TimePoint::Never();
   TimePoint last_active_ = TimePoint::Never();  ///< Last tick or message.
--- a/src/link/messages.cc
+++ b/src/link/messages.cc
@@ -42,7 +42,8 @@
     "job_holders_query",
     "job_holders",
     "entries_heard",
-    "entries_silent"};
+    "entries_silent",
+    "data_centre_update"};
 
 }  // namespace
 
--- a/src/link/messages.h
+++ b/src/link/messages.h
@@ -295,7 +295,8 @@
     Leaving, Drain, KeyQuery, KeyReply, WorkerCard, WorkerReport, StartTask,
     StopTask, TaskEnd, TaskEndAck, AttemptList, RouteTablePull, RouteTablePush,
     JobsAccepted, JobHandoverRequest, JobHandedOver, JobMoved, WorkerCrashed,
-    JobsCancelled, JobHoldersQuery, JobHolders, EntriesHeard, EntriesSilent>;
+    JobsCancelled, JobHoldersQuery, JobHolders, EntriesHeard, EntriesSilent,
+    DataCentreUpdate>;
 
 /// The name of a message's type, for logs and metrics.
 std::string_view MessageName(const Message& message);
--- a/src/link/step_messages.h
+++ b/src/link/step_messages.h
@@ -166,6 +166,19 @@
   }
 };
 
+/// A data centre was taken out of service or put back by a route table. Sent to
+/// agents there; the one with the highest offset counts.
+struct DataCentreUpdate {
+  DataCentreName data_centre;
+  LogOffset offset;  ///< Of the newest route table that says so.
+  bool out = false;
+
+  template <class A>
+  void Fields(A& a) {
+    a(data_centre)(offset)(out);
+  }
+};
+
 struct RouteTablePull {
   LogOffset have;
 
--- a/src/worker/worker_session.h
+++ b/src/worker/worker_session.h
@@ -174,6 +174,7 @@
     std::optional<Hello> hello;
     std::optional<TimePoint> last_heartbeat_sent_at;
     TimePoint last_received_at;
+    LogOffset table_offset;  ///< Of the entry's route table.
     double cpu_received = 0;
     std::uint64_t reported_version = 0;  ///< Of the state; 0: none.
     std::optional<WorkerCard> sent_card;
@@ -217,6 +218,7 @@
   void On(LinkId link, const StartTask& order, TimePoint now);
   void On(LinkId link, const StopTask& order, TimePoint now);
   void On(LinkId link, const TaskEndAck& ack, TimePoint now);
+  void On(LinkId link, const DataCentreUpdate& update, TimePoint now);
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
@@ -287,12 +289,17 @@
   std::int64_t LeaseUntil(TimePoint now) const;
   std::optional<TimePoint> LatestLeaseEnd() const;
   bool IsAlive(const Entry& entry, TimePoint now) const;
+  /// True if the data centre is out of service, but was not yet when the
+  /// entry's route table was published.
+  bool IsOutdated(const Peer& peer) const;
   Attempt* FindByRun(const TaskRun& run);
   void Send(LinkId link, Message message);
   void Log(LogLevel level, const std::string& event, LogFields fields);
 
   WorkerSessionOptions options_;
   std::optional<WorkerAnnouncement> worker_;
+  /// The newest one of the worker's data centre.
+  std::optional<DataCentreUpdate> data_centre_update_;
   std::uint64_t started_ms_ = 0;
   std::int64_t clock_offset_ms_ = 0;  ///< Lower bound: worker's - ours.
   std::uint64_t fencing_token_;
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -169,6 +169,9 @@
 void WorkerSession::On(LinkId link, const Heartbeat& heartbeat, TimePoint now) {
   Peer& peer = peers_[link];
   peer.last_heartbeat_sent_at = heartbeat.sent_at;
+  const bool was_outdated = IsOutdated(peer);
+  peer.table_offset = LogOffset(heartbeat.version.value());
+  if (was_outdated != IsOutdated(peer)) peer.reported_version = 0;
   if (!peer.hello) return;
   Entry& entry = entries_[peer.hello->incarnation];
   entry.last_heartbeat_at = now;
@@ -177,6 +180,26 @@
   }
 }
 
+void WorkerSession::On(LinkId /*link*/, const DataCentreUpdate& update,
+                       TimePoint /*now*/) {
+  if (!worker_ || update.data_centre != worker_->data_centre) return;
+  if (data_centre_update_ &&
+      data_centre_update_->data_centre == update.data_centre &&
+      data_centre_update_->offset >= update.offset) {
+    return;
+  }
+  data_centre_update_ = update;
+  ++state_version_;
+}
+
+// An entry that is cut off from the operator's log and from other entries may
+// still reach the agents of a data centre that was taken out of service.
+bool WorkerSession::IsOutdated(const Peer& peer) const {
+  return worker_ && data_centre_update_ && data_centre_update_->out &&
+         data_centre_update_->data_centre == worker_->data_centre &&
+         peer.table_offset < data_centre_update_->offset;
+}
+
 void WorkerSession::CloseSilentLinks(TimePoint now) {
   for (auto& [link, peer] : peers_) {
     if (now - peer.last_received_at <= kLinkTimeout) continue;
@@ -282,8 +305,8 @@
 
 WorkerReport WorkerSession::Report(const Peer& peer, TimePoint now) const {
   WorkerReport report;
-  report.accepting =
-      IsAccepting(now) && !peer.releasing_since && !IsMemoryFull();
+  report.accepting = IsAccepting(now) && !peer.releasing_since &&
+                     !IsMemoryFull() && !IsOutdated(peer);
   report.entries = CountEntries();
   if (worker_) {
     report.free = worker_->capacity;
--- a/src/worker/worker_session_orders.cc
+++ b/src/worker/worker_session_orders.cc
@@ -54,6 +54,8 @@
   if (peer.releasing_since) return "the link is being released";
   if (!IsAlive(entry, now)) return "no recent heartbeat from the entry";
   if (!IsAccepting(now)) return "the worker is not accepting orders";
+  if (IsOutdated(peer))
+    return "the data centre is out of service by a newer route table";
   if (by_task_.contains(order.run.task))
     return "another run of the task is already here";
   if (!worker_->capacity.CanFit(order.size))
--- a/standins/step_simulator.h
+++ b/standins/step_simulator.h
@@ -144,6 +144,9 @@
   /// Resets the connections of callers to the entry; both ends notice.
   void ResetCallers(int entry) { DropCallers(entry, 1, Duration(0)); }
   void SetOutOfService(const std::string& data_centre, bool out);
+  /// Route tables that are published meanwhile reach the entry afterwards, if
+  /// no other entry sends it one.
+  void CutFromStore(int entry, Duration span);
   void LeaveAgent(int worker);
   /// From now on the entry admits only jobs that can finish within `grace`.
   void LeaveEntry(int entry, Duration grace);
@@ -234,6 +237,7 @@
   void AddViolation(const std::string& description);
   void RecordLogMessage(const std::string& process, const LogMessage& msg);
   RouteTable MakeRouteTable() const;
+  void PublishRouteTable(int entry);
 
   StepSimulatorOptions options_;
   Random random_;  ///< For the load: independent of scheduling decisions.
--- a/standins/step_simulator_faults.cc
+++ b/standins/step_simulator_faults.cc
@@ -193,11 +193,22 @@
     data_centres_out_.erase(data_centre);
   }
   ++table_offset_;
-  for (std::size_t i = 0; i < entries_.size(); ++i) {
-    if (!entries_[i]->alive) continue;
-    entries_[i]->node->OnRouteTable(MakeRouteTable(), "operator", now_);
-    RunEntryActions(static_cast<int>(i));
+  for (int i = 0; i < options_.entries; ++i) PublishRouteTable(i);
+}
+
+void StepSimulator::CutFromStore(int entry, Duration span) {
+  entries_[static_cast<std::size_t>(entry)]->no_store_until = now_ + span;
+}
+
+void StepSimulator::PublishRouteTable(int index) {
+  const Entry& entry = *entries_[static_cast<std::size_t>(index)];
+  if (now_ < entry.no_store_until) {
+    return At(entry.no_store_until,
+              [this, index] { PublishRouteTable(index); });
   }
+  if (!entry.alive) return;
+  entry.node->OnRouteTable(MakeRouteTable(), "operator", now_);
+  RunEntryActions(index);
 }
 
 void StepSimulator::LeaveAgent(int worker) {
--- a/standins/step_simulator_parts.h
+++ b/standins/step_simulator_parts.h
@@ -46,6 +46,7 @@
   std::uint64_t incarnation = 0;
   bool alive = false;
   TimePoint frozen_until = TimePoint::Never();
+  TimePoint no_store_until = TimePoint::Never();
   TimePoint next_tick;
   std::map<CallerHandle, int> callers;
 };
--- a/tests/step_entry_cut_off_test.cc
+++ b/tests/step_entry_cut_off_test.cc
@@ -220,5 +220,61 @@
   CHECK(Sent<StartTask>(kAgent).size() == 1);
 }
 
+class StepEntryDataCentreTest : public StepEntryNodeTest {
+ protected:
+  void Publish(std::int64_t offset, const std::vector<std::string>& out) {
+    RouteTable table = node_.table();
+    table.offset = LogOffset(offset);
+    table.data_centres_out.clear();
+    for (const std::string& name : out) {
+      table.data_centres_out.emplace_back(name);
+    }
+    node_.OnRouteTable(table, "operator", now_);
+    Collect();
+  }
+
+  void AnnounceWorkerIn(const std::string& data_centre) {
+    WorkerCard card = Card();
+    card.data_centre = DataCentreName(data_centre);
+    Receive(kAgent, card);
+  }
+
+  std::vector<std::pair<std::int64_t, bool>> Updates() const {
+    std::vector<std::pair<std::int64_t, bool>> updates;
+    for (const auto& update : Sent<DataCentreUpdate>(kAgent)) {
+      CHECK(update.data_centre == DataCentreName("gyor"));
+      updates.emplace_back(update.offset.value(), update.out);
+    }
+    return updates;
+  }
+};
+
+// Guards against tasks that an entry with an older table still starts in a data
+// centre that is out of service (review/6).
+TEST_CASE_METHOD(StepEntryDataCentreTest,
+                 "StepEntryNode with a table that takes a data centre out or "
+                 "puts it back tells the agents there, behind a heartbeat") {
+  AnnounceWorkerIn("gyor");
+  actions_.clear();
+  Publish(2, {"gyor"});
+  REQUIRE_FALSE(Sent<Heartbeat>(kAgent).empty());
+  CHECK(Sent<Heartbeat>(kAgent).back().version == Version(2));
+  Publish(3, {"gyor", "szeged"});
+  Publish(4, {"szeged"});
+  Publish(5, {});
+  CHECK(Updates() == std::vector<std::pair<std::int64_t, bool>>{
+                         {2, true}, {3, true}, {4, false}});
+}
+
+TEST_CASE_METHOD(StepEntryDataCentreTest,
+                 "StepEntryNode with a data centre out tells an agent there "
+                 "that is linked later, and no other one") {
+  Publish(2, {"gyor"});
+  AnnounceWorkerIn("szeged");
+  CHECK(Updates().empty());
+  AnnounceWorkerIn("gyor");
+  CHECK(Updates() == std::vector<std::pair<std::int64_t, bool>>{{2, true}});
+}
+
 }  // namespace
 }  // namespace geranium
--- a/tests/step_simulator_cuts_test.cc
+++ b/tests/step_simulator_cuts_test.cc
@@ -130,5 +130,90 @@
   CheckCompleted(simulator, {job});
 }
 
+class EvacuationTest : public CutsTest {
+ protected:
+  static constexpr Duration kMaxEvacuationTime{5000};
+  static constexpr Duration kLongCut{12'000};
+  static constexpr TimePoint kEvacuated{8000};
+  inline static const std::string kDataCentre = "dc-0";
+
+  static StepSimulatorOptions Options() {
+    StepSimulatorOptions options = OptionsWithoutLoad();
+    options.load = ReferenceLoad(kOrdinaryLoadFactor);
+    return options;
+  }
+
+  /// Starts so far at the workers of the data centre.
+  static std::uint64_t CountStarts(const StepSimulator& simulator,
+                                   const StepSimulatorOptions& options) {
+    std::uint64_t starts = 0;
+    for (int i = 0; i < options.workers; i += options.entries) {
+      starts += simulator.session(i).counters().starts;
+    }
+    return starts;
+  }
+};
+
+// Guards against agents that start the tasks of an entry which is cut off from
+// the store and other entries, and has not heard that their data centre is out
+// of service (review/6).
+TEST_CASE_METHOD(EvacuationTest,
+                 "StepSimulator with a data centre out and an entry cut off "
+                 "that does not know, no task starts there after the limit") {
+  const StepSimulatorOptions options = Options();
+  StepSimulator simulator(options);
+  simulator.At(kEvacuated - Duration(200), [&] {
+    simulator.CutFromStore(0, kLongCut);
+    simulator.SplitEntries({0}, kLongCut);
+  });
+  simulator.At(kEvacuated,
+               [&] { simulator.SetOutOfService(kDataCentre, true); });
+  SECTION("all processes go on") {}
+  SECTION("the other entries and the agents restart one after the other") {
+    for (int i = 1; i < options.entries; ++i) {
+      simulator.At(kEvacuated + Duration(900 * i),
+                   [&, i] { simulator.KillEntry(i, Duration(300)); });
+    }
+    for (int i = 0; i < options.workers; ++i) {
+      simulator.At(kEvacuated + Duration(4000 + 300 * i),
+                   [&, i] { simulator.KillAgent(i, Duration(200)); });
+    }
+  }
+  simulator.Run(kEvacuated + kMaxEvacuationTime);
+  const std::uint64_t before = CountStarts(simulator, options);
+  CHECK(before > 0);
+  std::vector<std::uint64_t> later;
+  for (TimePoint at = simulator.now(); at < kEvacuated + Duration(11'000);
+       at = at + Duration(50)) {
+    simulator.Run(at);
+    later.push_back(CountStarts(simulator, options));
+  }
+  // The counts of an agent begin anew when it restarts.
+  CHECK(*std::max_element(later.begin(), later.end()) <= before);
+  CheckNoViolations(simulator);
+}
+
+TEST_CASE_METHOD(EvacuationTest,
+                 "StepSimulator with a data centre back in service, an entry "
+                 "that was cut off meanwhile orders there again") {
+  const StepSimulatorOptions options = Options();
+  StepSimulator simulator(options);
+  simulator.At(kEvacuated - Duration(200), [&] {
+    simulator.CutFromStore(0, kLongCut);
+    simulator.SplitEntries({0}, kLongCut);
+  });
+  simulator.At(kEvacuated,
+               [&] { simulator.SetOutOfService(kDataCentre, true); });
+  simulator.At(kEvacuated + Duration(4000),
+               [&] { simulator.SetOutOfService(kDataCentre, false); });
+  simulator.Run(kEvacuated + Duration(4500));
+  const std::uint64_t before = CountStarts(simulator, options);
+  simulator.Run(kEvacuated + Duration(8000));
+  CHECK(CountStarts(simulator, options) > before);
+  CHECK(simulator.entry(0).scheduler().accepting_workers(simulator.now()) ==
+        static_cast<std::size_t>(options.workers));
+  CheckNoViolations(simulator);
+}
+
 }  // namespace
 }  // namespace geranium::standins
--- a/tests/worker_session_entries_test.cc
+++ b/tests/worker_session_entries_test.cc
@@ -35,6 +35,15 @@
     }
   }
 
+  void Update(LinkId link, std::int64_t offset, bool out,
+              const std::string& data_centre = "gyor") {
+    session_.OnMessage(
+        link,
+        DataCentreUpdate{DataCentreName(data_centre), LogOffset(offset), out},
+        now_);
+    Advance(Duration(50));
+  }
+
   template <class M>
   std::optional<M> Last(LinkId link) const {
     std::optional<M> last;
@@ -46,7 +55,17 @@
     return last;
   }
 
+  /// True if the entry's next order is started.
+  bool Starts(LinkId link) {
+    Beat(link, offsets_[link]);
+    const int before = CountActions<StartRun>();
+    Order(link, ++number_);
+    Tick();
+    return CountActions<StartRun>() > before;
+  }
+
   std::map<LinkId, std::int64_t> offsets_{{kFirst, 1}, {kSecond, 1}};
+  std::uint64_t number_ = 0;
 };
 
 // Guards against entries that are cut off from each other, and take runs here
@@ -75,5 +94,51 @@
   CHECK(CountSent<EntriesHeard>(kFirst) == 0);
 }
 
+// Guards against tasks that an entry which is cut off starts in a data centre
+// that is out of service (review/6).
+TEST_CASE_METHOD(WorkerSessionEntriesTest,
+                 "WorkerSession in a data centre that is out returns orders of "
+                 "an entry with an older table, and tells it that it accepts "
+                 "none") {
+  offsets_ = {{kFirst, 1}, {kSecond, 2}};
+  Pass(Duration(100), {kFirst, kSecond});
+  REQUIRE(Starts(kFirst));
+  Update(kSecond, 2, true);
+  REQUIRE(Last<WorkerReport>(kFirst));
+  CHECK_FALSE(Last<WorkerReport>(kFirst)->accepting);
+  CHECK(Last<WorkerReport>(kSecond)->accepting);
+  CHECK_FALSE(Starts(kFirst));
+  const auto end = Last<TaskEnd>(kFirst);
+  REQUIRE(end);
+  CHECK(end->end == AttemptEnd::kNotStarted);
+  SECTION("the entry gets the newer table") {
+    offsets_[kFirst] = 2;
+    CHECK(Starts(kFirst));
+    Pass(Duration(100), {kFirst, kSecond});
+    CHECK(Last<WorkerReport>(kFirst)->accepting);
+  }
+  SECTION("the data centre is put back") {
+    offsets_[kSecond] = 3;
+    Update(kSecond, 3, false);
+    CHECK(Last<WorkerReport>(kFirst)->accepting);
+    CHECK(Starts(kFirst));
+  }
+  SECTION("an entry that has missed its return tells that it is out") {
+    Update(kSecond, 3, false);
+    Update(kFirst, 2, true);
+    CHECK(Starts(kFirst));
+  }
+}
+
+TEST_CASE_METHOD(WorkerSessionEntriesTest,
+                 "WorkerSession told that other data centres are out, or its "
+                 "own was put back, takes orders of all entries") {
+  offsets_ = {{kFirst, 1}, {kSecond, 5}};
+  Update(kSecond, 4, true, "szeged");
+  Update(kSecond, 5, false);
+  CHECK(Starts(kFirst));
+  CHECK(Starts(kSecond));
+}
+
 }  // namespace
 }  // namespace geranium
