--- a/tests/random_step_faults.cc
+++ b/tests/random_step_faults.cc
@@ -61,6 +61,46 @@
   return std::move(faults_);
 }
 
+std::vector<StepFault> RandomStepFaults::DrawCuts(TimePoint begin,
+                                                  TimePoint end) {
+  faults_.clear();
+  for (TimePoint at = begin + Between(0, 3000); at < end;) {
+    const Duration span = Between(500, 6000);
+    if (random_.Chance(0.5)) {
+      AddCutFromEntries(at, span);
+    } else {
+      AddIsolation(at, span);
+    }
+    at = at + span + Between(100, 3000);
+  }
+  return std::move(faults_);
+}
+
+void RandomStepFaults::AddCutFromEntries(TimePoint at, Duration span) {
+  const int entry = Entry();
+  Add(at,
+      "cut of entry " + std::to_string(entry) + " from entries for " +
+          std::to_string(span.ms()) + " ms",
+      [=](StepSimulator& simulator) { simulator.SplitEntries({entry}, span); });
+}
+
+// Links to agents and to entries are back at different times.
+void RandomStepFaults::AddIsolation(TimePoint at, Duration span) {
+  const int entry = Entry();
+  const Duration entries_later = Between(0, 500);
+  const int nodes = static_cast<int>(entries_ + workers_);
+  Add(at,
+      "cut of entry " + std::to_string(entry) + " from all for " +
+          std::to_string(span.ms()) + " ms, from entries " +
+          std::to_string(entries_later.ms()) + " ms longer",
+      [=](StepSimulator& simulator) {
+        for (int node = 0; node < nodes; ++node) {
+          if (node != entry) simulator.PartitionNodes(entry, node, span);
+        }
+        simulator.SplitEntries({entry}, span + entries_later);
+      });
+}
+
 void RandomStepFaults::AddBetweenEntries(TimePoint at) {
   AddCutEntries(at);
   faults_.back().cuts_entries = true;
--- a/tests/random_step_faults.h
+++ b/tests/random_step_faults.h
@@ -30,6 +30,9 @@
 
   /// In order of time, all within `end`.
   std::vector<StepFault> Draw(int count, TimePoint begin, TimePoint end);
+  /// Cuts of single entries from all other entries or from all processes, each
+  /// over before the next one begins.
+  std::vector<StepFault> DrawCuts(TimePoint begin, TimePoint end);
 
  private:
   using Inject = std::function<void(StepSimulator&)>;
@@ -44,6 +47,8 @@
   void AddKill(TimePoint at);
   void AddFreeze(TimePoint at);
   void AddCutAgent(TimePoint at);
+  void AddCutFromEntries(TimePoint at, Duration span);
+  void AddIsolation(TimePoint at, Duration span);
 
   Duration Between(std::int64_t low, std::int64_t high);
   double Share() { return 0.1 * static_cast<double>(1 + random_.Below(10)); }
--- a/tests/step_simulator_random_faults_test.cc
+++ b/tests/step_simulator_random_faults_test.cc
@@ -18,6 +18,8 @@
   static constexpr int kLastingJobs = 6;
 
   enum class Repeats { kNone, kOrdersAndRequests };
+  /// Besides the other faults.
+  enum class Cuts { kNone, kSingleEntries };
 
   struct Size {
     int entries = 4;
@@ -34,6 +36,13 @@
         .Draw(kFaults, kFirstFault, kLastFault);
   }
 
+  static std::vector<StepFault> DrawCuts(std::uint64_t seed, const Size& size) {
+    return RandomStepFaults(seed, size.entries, size.workers,
+                            StepSimulatorOptions().worker_capacity,
+                            CallerLoss::kNoticed)
+        .DrawCuts(kFirstFault, kLastFault);
+  }
+
   static std::unique_ptr<StepSimulator> Simulate(
       std::uint64_t seed, const Size& size,
       const std::vector<StepFault>& faults, Repeats repeats) {
@@ -57,13 +66,19 @@
 
   static void CheckSeed(std::uint64_t seed, const Size& size,
                         CallerLoss caller_loss,
-                        Repeats repeats = Repeats::kNone) {
+                        Repeats repeats = Repeats::kNone,
+                        Cuts cuts = Cuts::kNone) {
     std::vector<StepFault> faults = DrawFaults(seed, size, caller_loss);
     // A copy that arrives while its entries are cut from each other alone runs
     // beside the first one: KNOWN-RED.txt.
     if (repeats != Repeats::kNone) {
       std::erase_if(faults, [](const auto& f) { return f.cuts_entries; });
     }
+    if (cuts != Cuts::kNone) {
+      for (StepFault& cut : DrawCuts(seed, size)) {
+        faults.push_back(std::move(cut));
+      }
+    }
     const auto simulator = Simulate(seed, size, faults, repeats);
     INFO("seed " << seed << ", " << size.entries << " entries");
     CHECK(simulator->starts() > 0);
@@ -167,7 +182,7 @@
   }
 }
 
-// Takes FIRST_SEED, SEEDS, UNNOTICED and REPEATS from the environment.
+// Takes FIRST_SEED, SEEDS, UNNOTICED, REPEATS and CUTS from the environment.
 TEST_CASE_METHOD(RandomFaultsTest,
                  "StepSimulator with overlapping random faults, a chosen range "
                  "of seeds",
@@ -181,10 +196,11 @@
                                      : CallerLoss::kPartlyUnnoticed;
   const Repeats repeats =
       number("REPEATS", 0) == 0 ? Repeats::kNone : Repeats::kOrdersAndRequests;
+  const Cuts cuts = number("CUTS", 0) == 0 ? Cuts::kNone : Cuts::kSingleEntries;
   const std::uint64_t first = number("FIRST_SEED", 1);
   for (std::uint64_t i = 0; i < number("SEEDS", 100); ++i) {
-    CheckSeed(first + i, SmallSite(), caller_loss, repeats);
-    CheckSeed(first + i, LargeSite(), caller_loss, repeats);
+    CheckSeed(first + i, SmallSite(), caller_loss, repeats, cuts);
+    CheckSeed(first + i, LargeSite(), caller_loss, repeats, cuts);
   }
 }
 
