--- a/tests/step_simulator_cuts_test.cc
+++ b/tests/step_simulator_cuts_test.cc
@@ -171,11 +171,11 @@
   SECTION("all processes go on") {}
   SECTION("the other entries and the agents restart one after the other") {
     for (int i = 1; i < options.entries; ++i) {
-      simulator.At(kEvacuated + Duration(900 * i),
+      simulator.At(kEvacuated + Duration(900) * i,
                    [&, i] { simulator.KillEntry(i, Duration(300)); });
     }
     for (int i = 0; i < options.workers; ++i) {
-      simulator.At(kEvacuated + Duration(4000 + 300 * i),
+      simulator.At(kEvacuated + Duration(4000) + Duration(300) * i,
                    [&, i] { simulator.KillAgent(i, Duration(200)); });
     }
   }
