--- a/src/entry/step_entry_contact.cc
+++ b/src/entry/step_entry_contact.cc
@@ -18,8 +18,8 @@
   return !is_cut_off_ && !IsCutFromEntries(now);
 }
 
-// At sites with many entries an agent is linked to a few of them, so that what
-// agents tell does not show of each entry whether it is heard.
+// At sites with many entries each agent is linked to a few of them, so an entry
+// that has only agents left to ask cannot learn who else is still heard.
 bool StepEntryNode::IsCutFromEntries(TimePoint now) const {
   return entry_links_.empty() &&
          std::any_of(entry_heard_here_.begin(), entry_heard_here_.end(),
@@ -85,7 +85,7 @@
   for (const auto& [entry, link] : entry_links_) Send(link, silent);
 }
 
-// Where no other entry is known, nobody can take the jobs over.
+// An entry that knows no other one keeps its jobs: nobody can take them over.
 void StepEntryNode::AbandonJobsIfUnheard(TimePoint now) {
   if (is_cut_off_ || entry_heard_.empty() ||
       heard_by_others_at_ == TimePoint::Never() ||
@@ -101,7 +101,7 @@
        {"abandoned_jobs", std::to_string(abandoned)}});
 }
 
-// After that an entry knows as little of the jobs of others as one that
+// An entry that was cut off knows as little of the jobs of others as one that
 // has just started.
 void StepEntryNode::OnHeardByOthers(TimePoint sent_at, TimePoint now) {
   heard_by_others_at_ = std::max(heard_by_others_at_, sent_at);
--- a/src/entry/step_entry_node.h
+++ b/src/entry/step_entry_node.h
@@ -228,14 +228,14 @@
   template <class Other>
   void On(LinkId /*link*/, const Other& /*other*/, TimePoint /*now*/) {}
 
-  /// Gives up jobs that other entries may have taken over. To be called before
-  /// anything else is done in an event.
+  /// Gives up jobs that other entries may have taken over. To be called first
+  /// in each event after which tasks may be ordered.
   void AbandonLostJobs(TimePoint now);
   void AbandonJobsAfterStandstill(TimePoint now);
   void AbandonJobsIfUnheard(TimePoint now);
   /// Another process has received what this one sent at `sent_at`.
   void OnHeardByOthers(TimePoint sent_at, TimePoint now);
-  /// What others have done meanwhile is not known.
+  /// To be called when messages from others may have been missed.
   void CatchUp(TimePoint now);
   /// Returns false if no other entry can have runs of the job.
   bool BeginHandover(const StepJobId& job, TimePoint now);
--- a/src/worker/worker_session_links.cc
+++ b/src/worker/worker_session_links.cc
@@ -215,7 +215,7 @@
   for (const auto& [link, peer] : peers_) {
     Send(link, Heartbeat{now, peer.last_heartbeat_sent_at, Version(0),
                          std::nullopt, std::nullopt});
-    // Of the only one it has heard from, the entry knows itself.
+    // Nothing to tell if no other entry is heard.
     if (heard.entries.size() > 1) Send(link, heard);
   }
 }
